--- /dev/null
+++ b/check.go
@@ -0,0 +1,129 @@
+package pollenlatch
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+)
+
+// Errors of messages that are not well formed.
+var (
+	ErrOneField = errors.New("exactly one field must be set")
+	ErrNoName   = errors.New("name is empty")
+	ErrNoShard  = errors.New("service of a shard is empty")
+	ErrPiece    = errors.New("piece lies outside its snapshot")
+)
+
+// Check reports whether exactly one kind of message is set and well formed.
+func (m *Message) Check() error {
+	if err := oneSet(m); err != nil {
+		return err
+	}
+	switch {
+	case m.Renew != nil:
+		return m.Renew.Check()
+	case m.Delta != nil:
+		return m.Delta.Check()
+	case m.Release != nil:
+		return m.Release.Check()
+	case m.Records != nil:
+		return m.Records.Shard.Check()
+	default:
+		return nil
+	}
+}
+
+// Check reports whether exactly one command is set and well formed.
+func (c *Command) Check() error {
+	if err := oneSet(c); err != nil {
+		return err
+	}
+	switch {
+	case c.Join != nil && c.Join.Name == "":
+		return ErrNoName
+	case c.Assign != nil:
+		for _, i := range c.Assign.Items {
+			if err := i.Check(); err != nil {
+				return err
+			}
+		}
+	case c.Freeze != nil:
+		for _, i := range c.Freeze.Items {
+			if err := i.Check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Check reports whether the sender is named.
+func (r *Renew) Check() error {
+	if r.Name == "" {
+		return ErrNoName
+	}
+	return nil
+}
+
+// Check reports whether the commands and the piece are well formed.
+func (d *Delta) Check() error {
+	for i := range d.Commands {
+		if err := d.Commands[i].Check(); err != nil {
+			return fmt.Errorf("command %d: %w", i, err)
+		}
+	}
+	if p := d.Piece; p != nil {
+		if p.Total < p.Offset || uint64(len(p.Data)) > p.Total-p.Offset {
+			return ErrPiece
+		}
+	}
+	return nil
+}
+
+// Check reports whether every shard is named.
+func (r *Release) Check() error {
+	for _, i := range r.Items {
+		if err := i.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Check reports whether the shard names a service.
+func (s Shard) Check() error {
+	if s.Service == "" {
+		return ErrNoShard
+	}
+	return nil
+}
+
+// Check reports whether the head names a service and a method.
+func (h *RequestHead) Check() error {
+	if h.Service == "" || h.Method == "" {
+		return ErrNoName
+	}
+	return nil
+}
+
+// Check reports whether the status is one of HTTP's.
+func (h *ResponseHead) Check() error {
+	if h.Status < 100 || h.Status > 999 {
+		return fmt.Errorf("status %d is not an HTTP status", h.Status)
+	}
+	return nil
+}
+
+func oneSet(v any) error {
+	e := reflect.ValueOf(v).Elem()
+	n := 0
+	for i := range e.NumField() {
+		if !e.Field(i).IsZero() {
+			n++
+		}
+	}
+	if n != 1 {
+		return fmt.Errorf("%w, not %d", ErrOneField, n)
+	}
+	return nil
+}
--- /dev/null
+++ b/command.go
@@ -0,0 +1,83 @@
+package pollenlatch
+
+// Command is one entry of the replicated log. Exactly one field is set.
+// Commands that no longer fit the state when they are applied change nothing
+// and are reported as rejected, with a reason.
+type Command struct {
+	Ticket   *Ticket   `protobuf:"bytes,1,opt,name=ticket"`
+	Join     *Join     `protobuf:"bytes,2,opt,name=join"`
+	Expire   *Expire   `protobuf:"bytes,3,opt,name=expire"`
+	Announce *Announce `protobuf:"bytes,4,opt,name=announce"`
+	Assign   *Assign   `protobuf:"bytes,5,opt,name=assign"`
+	Freeze   *Freeze   `protobuf:"bytes,6,opt,name=freeze"`
+	Noop     *Noop     `protobuf:"bytes,7,opt,name=noop"`
+}
+
+// Ticket is a numbered change of configuration by an operator.
+type Ticket struct {
+	Number uint64 `protobuf:"varint,1,opt,name=number" json:"number"`
+	Text   string `protobuf:"bytes,2,opt,name=text" json:"text"`       // the YAML document as sent
+	Digest uint64 `protobuf:"fixed64,3,opt,name=digest" json:"digest"` // xxhash64 of Text; Text decides when they are equal
+	Sender string `protobuf:"bytes,4,opt,name=sender" json:"sender"`
+	At     int64  `protobuf:"varint,5,opt,name=at" json:"at"` // Unix milliseconds when the leader received it
+	Spec   Spec   `protobuf:"bytes,6,opt,name=spec" json:"-"`
+}
+
+// Join starts a lease for an instance that has none.
+type Join struct {
+	Name        string      `protobuf:"bytes,1,opt,name=name"`
+	DC          string      `protobuf:"bytes,2,opt,name=dc"`
+	Addr        string      `protobuf:"bytes,3,opt,name=addr"`
+	Front       string      `protobuf:"bytes,4,opt,name=front"`
+	Incarnation Incarnation `protobuf:"varint,5,opt,name=incarnation"`
+}
+
+// Expire ends a lease. The shards of the instance have no owner after it.
+type Expire struct {
+	Instance InstanceID `protobuf:"varint,1,opt,name=instance"`
+	Lease    Lease      `protobuf:"varint,2,opt,name=lease"`
+	Graceful bool       `protobuf:"varint,3,opt,name=graceful"` // the holder itself ended it
+}
+
+// Announce records what an endpoint says of itself. It applies only to the
+// lease that it was sent under.
+type Announce struct {
+	Instance InstanceID `protobuf:"varint,1,opt,name=instance"`
+	Lease    Lease      `protobuf:"varint,2,opt,name=lease"`
+	Endpoint Endpoint   `protobuf:"bytes,3,opt,name=endpoint"`
+}
+
+// Assign gives shards to owners. Each item applies on its own.
+type Assign struct {
+	Items []AssignItem `protobuf:"bytes,1,rep,name=items"`
+}
+
+// AssignItem gives one shard to an owner if the shard still has the expected
+// fence and nobody alive owns it unreleased.
+type AssignItem struct {
+	Shard
+	To     InstanceID `protobuf:"varint,4,opt,name=to"`     // 0 removes a hot key's own record
+	Expect Fence      `protobuf:"varint,5,opt,name=expect"` // fence of the shard now; 0 when it never had an owner
+	// Released is the lease under which the present owner released the shard;
+	// 0 when the shard has no owner.
+	Released  Lease `protobuf:"varint,6,opt,name=released"`
+	NoRecords bool  `protobuf:"varint,7,opt,name=norecords"` // the idempotency records were not handed over
+}
+
+// Freeze starts hand-overs. Each item applies on its own.
+type Freeze struct {
+	Items []FreezeItem `protobuf:"bytes,1,rep,name=items"`
+}
+
+// FreezeItem starts the hand-over of one shard, or ends it without a move
+// when To is the present owner.
+type FreezeItem struct {
+	Shard
+	To     InstanceID `protobuf:"varint,4,opt,name=to"`
+	Expect Fence      `protobuf:"varint,5,opt,name=expect"`
+}
+
+// Noop is committed by a new leader so that earlier entries count as committed.
+type Noop struct {
+	Term uint64 `protobuf:"varint,1,opt,name=term"`
+}
--- /dev/null
+++ b/ident.go
@@ -0,0 +1,68 @@
+package pollenlatch
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// InstanceID is the number that the replicated state gives to an instance.
+// Zero is no instance.
+type InstanceID uint32
+
+// Version is a log index: the state after applying that entry. It only rises.
+type Version uint64
+
+// Fence is the log index of an assignment. A later owner of the same range
+// always has a higher fence. Zero is no fence.
+type Fence uint64
+
+// Lease is the log index of the Join command that created a lease.
+// Zero is no lease.
+type Lease uint64
+
+// Incarnation is a random number that one run of a process, or one data folder,
+// keeps for its whole existence. Zero is unknown.
+type Incarnation uint64
+
+// Range is the index of a part of a service's hashed key space.
+type Range uint32
+
+// Mono is monotonic time in nanoseconds since an arbitrary start in the same
+// process. Values of different processes are not comparable.
+type Mono int64
+
+// Add returns m moved by d.
+func (m Mono) Add(d time.Duration) Mono { return m + Mono(d) }
+
+// Sub returns the time from n to m.
+func (m Mono) Sub(n Mono) time.Duration { return time.Duration(m - n) }
+
+// Clock tells monotonic time. Reducers receive the time in events instead.
+type Clock interface {
+	Now() Mono
+}
+
+// System is a Clock on the operating system's monotonic clock.
+type System struct{}
+
+var processStart = time.Now()
+
+// Now returns the time since the process started.
+func (System) Now() Mono { return Mono(time.Since(processStart)) }
+
+// MaxBits bounds the number of ranges of a service to 1<<MaxBits.
+const MaxBits = 20
+
+// RangeOf returns the range of a key in a service with 1<<bits ranges.
+func RangeOf(service, key string, bits uint32) Range {
+	if bits == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(service)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return Range(d.Sum64() >> (64 - bits))
+}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,120 @@
+package pollenlatch
+
+import "time"
+
+// Message is one control message between processes. Exactly one field is set.
+type Message struct {
+	Renew    *Renew    `protobuf:"bytes,1,opt,name=renew"`
+	Renewed  *Renewed  `protobuf:"bytes,2,opt,name=renewed"`
+	Delta    *Delta    `protobuf:"bytes,3,opt,name=delta"`
+	Propose  *Propose  `protobuf:"bytes,4,opt,name=propose"`
+	Decided  *Decided  `protobuf:"bytes,5,opt,name=decided"`
+	Release  *Release  `protobuf:"bytes,6,opt,name=release"`
+	Quorum   []byte    `protobuf:"bytes,7,opt,name=quorum"` // encoded by package quorum
+	Records  *Records  `protobuf:"bytes,8,opt,name=records"`
+	Received *Received `protobuf:"bytes,9,opt,name=received"`
+}
+
+// Renew asks the leader to extend a lease, or to create one when Lease is 0.
+type Renew struct {
+	Seq         uint64      `protobuf:"varint,1,opt,name=seq"`
+	Lease       Lease       `protobuf:"varint,2,opt,name=lease"`
+	Held        Version     `protobuf:"varint,3,opt,name=held"` // version of the sender's state
+	Incarnation Incarnation `protobuf:"varint,4,opt,name=incarnation"`
+	Name        string      `protobuf:"bytes,5,opt,name=name"`
+	Join        *Join       `protobuf:"bytes,6,opt,name=join"`   // set when Lease is 0
+	Facts       *Endpoint   `protobuf:"bytes,7,opt,name=facts"`  // set when the state holds other facts of the endpoint
+	Load        *Load       `protobuf:"bytes,8,opt,name=load"`   // once a second
+	Leave       bool        `protobuf:"varint,9,opt,name=leave"` // end the lease now; nothing is in flight
+}
+
+// Renewed answers a Renew.
+type Renewed struct {
+	Seq     uint64        `protobuf:"varint,1,opt,name=seq"`
+	Lease   Lease         `protobuf:"varint,2,opt,name=lease"`   // 0: no lease; see Refused
+	TTL     time.Duration `protobuf:"varint,3,opt,name=ttl"`     // counted by the holder from sending Renew
+	Version Version       `protobuf:"varint,4,opt,name=version"` // the leader's applied version
+	Refused Refusal       `protobuf:"varint,5,opt,name=refused"`
+	Leader  string        `protobuf:"bytes,6,opt,name=leader"` // address of the leader when Refused is NotLeader
+}
+
+// Refusal says why a lease was not extended.
+type Refusal uint32
+
+// Reasons for which a lease is not extended.
+const (
+	Extended  Refusal = 0 // it was extended
+	NotLeader Refusal = 1 // the receiver does not lead
+	Pending   Refusal = 2 // the Join is being committed
+	Behind    Refusal = 3 // the holder lacks a ticket for longer than the grace time
+	Ended     Refusal = 4 // the lease has ended; join again
+)
+
+// Delta carries committed commands, or one piece of a snapshot.
+type Delta struct {
+	From     Version   `protobuf:"varint,1,opt,name=from"` // version before the first command
+	Commands []Command `protobuf:"bytes,2,rep,name=commands"`
+	Piece    *Piece    `protobuf:"bytes,3,opt,name=piece"`
+}
+
+// Piece is a part of an encoded snapshot.
+type Piece struct {
+	Version Version `protobuf:"varint,1,opt,name=version"`
+	Offset  uint64  `protobuf:"varint,2,opt,name=offset"` // bytes
+	Total   uint64  `protobuf:"varint,3,opt,name=total"`  // bytes
+	Data    []byte  `protobuf:"bytes,4,opt,name=data"`
+}
+
+// PieceBytes bounds a piece of a snapshot, so that renewals on the same
+// session wait for little.
+const PieceBytes = 64 << 10
+
+// Propose asks the leader to decide on a ticket.
+type Propose struct {
+	Seq    uint64 `protobuf:"varint,1,opt,name=seq"`
+	Ticket Ticket `protobuf:"bytes,2,opt,name=ticket"`
+}
+
+// Decided answers a Propose.
+type Decided struct {
+	Seq     uint64  `protobuf:"varint,1,opt,name=seq" json:"-"`
+	Verdict Verdict `protobuf:"bytes,2,opt,name=verdict" json:"verdict"`
+}
+
+// Verdict is the answer to a ticket. The same ticket always gets the same.
+type Verdict struct {
+	Number   uint64   `protobuf:"varint,1,opt,name=number" json:"number"`
+	Accepted bool     `protobuf:"varint,2,opt,name=accepted" json:"accepted"`
+	Version  Version  `protobuf:"varint,3,opt,name=version" json:"version"` // where it stands in the log
+	Faults   []string `protobuf:"bytes,4,rep,name=faults" json:"faults,omitempty"`
+	Next     uint64   `protobuf:"varint,5,opt,name=next" json:"next"`             // the next free number
+	Retry    bool     `protobuf:"varint,6,opt,name=retry" json:"retry,omitempty"` // not decided: no leader; send again
+}
+
+// Release says that nothing of the shards runs or will run at the sender.
+type Release struct {
+	Instance InstanceID `protobuf:"varint,1,opt,name=instance"`
+	Lease    Lease      `protobuf:"varint,2,opt,name=lease"`
+	Items    []Released `protobuf:"bytes,3,rep,name=items"`
+}
+
+// Released is one released shard.
+type Released struct {
+	Shard
+	Fence     Fence `protobuf:"varint,4,opt,name=fence"`
+	NoRecords bool  `protobuf:"varint,5,opt,name=norecords"` // its idempotency records could not be handed over
+}
+
+// Records hands idempotency records of one shard to its next owner.
+type Records struct {
+	Seq   uint64 `protobuf:"varint,1,opt,name=seq"`
+	Shard Shard  `protobuf:"bytes,2,opt,name=shard"`
+	Fence Fence  `protobuf:"varint,3,opt,name=fence"` // of the present owner
+	Data  []byte `protobuf:"bytes,4,opt,name=data"`   // encoded by package once
+}
+
+// Received acknowledges Records.
+type Received struct {
+	Seq uint64 `protobuf:"varint,1,opt,name=seq"`
+	OK  bool   `protobuf:"varint,2,opt,name=ok"`
+}
--- /dev/null
+++ b/quorum/message.go
@@ -0,0 +1,4 @@
+package quorum
+
+// Message is a message between voters. Package quorum defines its content.
+type Message struct{}
--- /dev/null
+++ b/spec.go
@@ -0,0 +1,104 @@
+package pollenlatch
+
+import (
+	"fmt"
+	"time"
+)
+
+// Class is the order in which admission serves requests. Lower is served first.
+type Class uint32
+
+// Classes of requests. A request without a matching rule is Routine.
+const (
+	Urgent  Class = 1
+	Normal  Class = 2
+	Routine Class = 3
+)
+
+// String returns the class's name in tickets and metrics.
+func (c Class) String() string {
+	switch c {
+	case Urgent:
+		return "urgent"
+	case Normal:
+		return "normal"
+	case Routine:
+		return "routine"
+	default:
+		return fmt.Sprintf("class-%d", uint32(c))
+	}
+}
+
+// Weights say what a service's placement pays for. They are relative.
+type Weights struct {
+	Imbalance   float64 `protobuf:"fixed64,1,opt,name=imbalance" yaml:"imbalance"`
+	Churn       float64 `protobuf:"fixed64,2,opt,name=churn" yaml:"churn"`
+	Unavailable float64 `protobuf:"fixed64,3,opt,name=unavailable" yaml:"unavailable"`
+}
+
+// Objective is a service-level objective of one class of a service.
+type Objective struct {
+	Class        Class         `protobuf:"varint,1,opt,name=class" yaml:"class"`
+	Availability float64       `protobuf:"fixed64,2,opt,name=availability" yaml:"availability"` // share of good answers, 0 to 1
+	Latency      time.Duration `protobuf:"varint,3,opt,name=latency" yaml:"latency"`            // an answer is fast within this time
+	Fast         float64       `protobuf:"fixed64,4,opt,name=fast" yaml:"fast"`                 // share of fast answers, 0 to 1
+}
+
+// Rule gives a class to the requests of a caller and kind. An empty field
+// matches everything; the first matching rule of a service wins.
+type Rule struct {
+	Caller string `protobuf:"bytes,1,opt,name=caller" yaml:"caller"`
+	Kind   string `protobuf:"bytes,2,opt,name=kind" yaml:"kind"`
+	Class  Class  `protobuf:"varint,3,opt,name=class" yaml:"class"`
+}
+
+// Service is what a ticket says of one service.
+type Service struct {
+	Name       string        `protobuf:"bytes,1,opt,name=name" yaml:"name"`
+	Keyed      bool          `protobuf:"varint,2,opt,name=keyed" yaml:"keyed"`    // divided by key
+	Bits       uint32        `protobuf:"varint,3,opt,name=bits" yaml:"bits"`      // 1<<Bits ranges, fixed when created
+	MaxRun     time.Duration `protobuf:"varint,4,opt,name=maxrun" yaml:"maxrun"`  // longest run of a request after the ownership check
+	Queue      uint32        `protobuf:"varint,5,opt,name=queue" yaml:"queue"`    // bound of the queue beside each server, in requests
+	Weights    Weights       `protobuf:"bytes,6,opt,name=weights" yaml:"weights"` // placement
+	Objectives []Objective   `protobuf:"bytes,7,rep,name=objectives" yaml:"objectives"`
+	Rules      []Rule        `protobuf:"bytes,8,rep,name=rules" yaml:"rules"`
+	DCs        []string      `protobuf:"bytes,9,rep,name=dcs" yaml:"dcs"`                // data centres whose endpoints may serve it; empty is all
+	Idempotent []string      `protobuf:"bytes,10,rep,name=idempotent" yaml:"idempotent"` // kinds that may run more than once whatever their method
+	RecordTTL  time.Duration `protobuf:"varint,11,opt,name=recordttl" yaml:"recordttl"`  // how long an idempotency record is kept
+}
+
+// Ranges returns the number of ranges of the service.
+func (s Service) Ranges() int { return 1 << s.Bits }
+
+// ClassOf returns the class of a request by the service's rules.
+func (s Service) ClassOf(caller, kind string) Class {
+	for _, r := range s.Rules {
+		if (r.Caller == "" || r.Caller == caller) && (r.Kind == "" || r.Kind == kind) {
+			return r.Class
+		}
+	}
+	return Routine
+}
+
+// Caller is what a ticket says of one caller of the services.
+type Caller struct {
+	Name  string  `protobuf:"bytes,1,opt,name=name" yaml:"name"`
+	Rate  float64 `protobuf:"fixed64,2,opt,name=rate" yaml:"rate"`  // requests a second at each daemon; 0 is unlimited
+	Burst uint32  `protobuf:"varint,3,opt,name=burst" yaml:"burst"` // requests
+}
+
+// Member is one voter of the group. A data folder that was lost and made anew
+// has another incarnation, and so is another member.
+type Member struct {
+	Name        string      `protobuf:"bytes,1,opt,name=name" yaml:"name"`
+	Incarnation Incarnation `protobuf:"varint,2,opt,name=incarnation" yaml:"incarnation"`
+	Addr        string      `protobuf:"bytes,3,opt,name=addr" yaml:"addr"`
+}
+
+// Spec is the content of a ticket: the whole new state of what it names.
+type Spec struct {
+	Services []Service `protobuf:"bytes,1,rep,name=services" yaml:"services"`
+	Callers  []Caller  `protobuf:"bytes,2,rep,name=callers" yaml:"callers"`
+	Voters   []Member  `protobuf:"bytes,3,rep,name=voters" yaml:"voters"` // empty leaves the group as it is
+	Remove   []string  `protobuf:"bytes,4,rep,name=remove" yaml:"remove"` // services to remove
+}
