--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,131 @@
+// Package lease counts leases on monotonic time: Granter at the leader, Holder
+// at each daemon. The holder counts from the moment it sent its request, the
+// granter from the moment it received it and with a drift allowance on top, so
+// a lease never ends later at the holder than at the granter.
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"pollenlatch"
+)
+
+// driftDivisor allows 2%, for clocks that run at rates up to 1% apart either way: 1% alone would not cover a holder whose clock is 1% slow.
+const driftDivisor = 50
+
+// WithDrift returns the time that a granter waits for a lease of length d.
+func WithDrift(d time.Duration) time.Duration { return d + d/driftDivisor }
+
+// Granter keeps the ends of the leases that the leader has extended. The zero
+// value holds none.
+type Granter struct {
+	ends map[pollenlatch.InstanceID]grant
+}
+
+type grant struct {
+	lease pollenlatch.Lease
+	end   pollenlatch.Mono
+}
+
+// Lapsed is a lease whose end has passed.
+type Lapsed struct {
+	Instance pollenlatch.InstanceID
+	Lease    pollenlatch.Lease
+	End      pollenlatch.Mono
+}
+
+// Reset forgets all leases. A new leader then calls Extend for every lease in
+// the state, from the time of its election, since its predecessor may have
+// extended them until then.
+func (g *Granter) Reset() { g.ends = nil }
+
+// Extend lets a lease last for ttl, and the drift allowance, from now. It
+// returns false when the lease has lapsed already, or was replaced by a newer.
+func (g *Granter) Extend(id pollenlatch.InstanceID, l pollenlatch.Lease, now pollenlatch.Mono, ttl time.Duration) bool {
+	old, ok := g.ends[id]
+	switch {
+	case ok && old.lease > l:
+		return false
+	case ok && old.lease == l && now >= old.end:
+		return false
+	}
+	if g.ends == nil {
+		g.ends = make(map[pollenlatch.InstanceID]grant)
+	}
+	g.ends[id] = grant{lease: l, end: max(old.end, now.Add(WithDrift(ttl)))}
+	return true
+}
+
+// Forget drops the lease, which the log has ended.
+func (g *Granter) Forget(id pollenlatch.InstanceID, l pollenlatch.Lease) {
+	if g.ends[id].lease == l {
+		delete(g.ends, id)
+	}
+}
+
+// Holds reports whether the granter counts this lease and it has not lapsed.
+func (g *Granter) Holds(id pollenlatch.InstanceID, l pollenlatch.Lease, now pollenlatch.Mono) bool {
+	e, ok := g.ends[id]
+	return ok && e.lease == l && now < e.end
+}
+
+// Lapsed returns the leases whose end has passed, by instance.
+func (g *Granter) Lapsed(now pollenlatch.Mono) []Lapsed {
+	var out []Lapsed
+	for id, e := range g.ends {
+		if now >= e.end {
+			out = append(out, Lapsed{Instance: id, Lease: e.lease, End: e.end})
+		}
+	}
+	slices.SortFunc(out, func(a, b Lapsed) int { return int(a.Instance) - int(b.Instance) })
+	return out
+}
+
+// sentKept bounds the requests whose sending time a holder remembers. Answers
+// to older ones are of no use, since the lease counted from them is nearly over.
+const sentKept = 16
+
+// Holder counts the end of this daemon's own lease. The zero value has none.
+type Holder struct {
+	lease pollenlatch.Lease
+	end   pollenlatch.Mono
+	seq   uint64
+	sent  [sentKept]sending
+}
+
+type sending struct {
+	seq uint64
+	at  pollenlatch.Mono
+}
+
+// Send returns the number of a request that is about to be sent.
+func (h *Holder) Send(now pollenlatch.Mono) uint64 {
+	h.seq++
+	h.sent[h.seq%sentKept] = sending{seq: h.seq, at: now}
+	return h.seq
+}
+
+// Grant counts an answer: the lease lasts for ttl from the sending of request
+// seq. It returns false for an answer to an unknown or forgotten request, or
+// to an older lease.
+func (h *Holder) Grant(seq uint64, l pollenlatch.Lease, ttl time.Duration) bool {
+	s := h.sent[seq%sentKept]
+	if seq == 0 || s.seq != seq || l < h.lease {
+		return false
+	}
+	if l > h.lease {
+		h.lease, h.end = l, 0
+	}
+	h.end = max(h.end, s.at.Add(ttl))
+	return true
+}
+
+// Drop gives the lease up.
+func (h *Holder) Drop() { h.end = 0 }
+
+// Lease returns the number of the newest lease and its end.
+func (h *Holder) Lease() (pollenlatch.Lease, pollenlatch.Mono) { return h.lease, h.end }
+
+// Alive reports whether the lease lasts at now.
+func (h *Holder) Alive(now pollenlatch.Mono) bool { return h.lease != 0 && now < h.end }
