link: add control sessions between daemons

Cause: voters and daemons need connections for renewals, the log and deltas. Change: Node with Listen, Serve, Send and Close; a mutual proof of the shared key before the session; one yamux session for each peer with a main and a bulk stream, bounded queues that drop the oldest message, redial with jittered backoff, write timeout of 250 ms.

--- /dev/null
+++ b/link/control.go
@@ -0,0 +1,427 @@
+package link
+
+import (
+	"bufio"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/hashicorp/yamux"
+	"k8s.io/klog/v2"
+
+	"pollenlatch"
+)
+
+const (
+	// A control session has two streams, so that a renewal never waits behind
+	// a snapshot.
+	laneMain = 0
+	laneBulk = 1
+	lanes    = 2
+
+	// bulkQuorum is the size in bytes from which a message between voters
+	// counts as bulk.
+	bulkQuorum = 32 << 10
+
+	queueLength = 256     // messages that wait for one peer on one lane
+	queueBytes  = 1 << 20 // bytes that wait for one peer on one lane
+	queueAge    = time.Second
+
+	// bulkPatience is how many write timeouts a peer may take to make room on
+	// the bulk lane: it may be busy with a snapshot without being lost.
+	bulkPatience = 8
+
+	redialFirst = 10 * time.Millisecond
+	redialMost  = 250 * time.Millisecond
+	readBuffer  = 1 << 10 // bytes; most control messages are shorter
+)
+
+// Peer is the sender of a control message.
+type Peer struct {
+	Name        string
+	Incarnation pollenlatch.Incarnation
+	Addr        string // the dialled address, or the peer's socket when it dialled
+
+	send func(m *pollenlatch.Message)
+}
+
+// NewPeer returns a peer whose Send calls send.
+func NewPeer(name string, i pollenlatch.Incarnation, addr string, send func(m *pollenlatch.Message)) Peer {
+	return Peer{Name: name, Incarnation: i, Addr: addr, send: send}
+}
+
+// Send answers on the connection that the message came from. It never blocks;
+// the message is lost when that connection ends.
+func (p Peer) Send(m *pollenlatch.Message) {
+	if p.send != nil {
+		p.send(m)
+	}
+}
+
+// Send queues a message for the daemon at addr. It never blocks. When the
+// queue is full the oldest message is dropped; a message that could not be
+// sent within a second is dropped too. m may be changed after the call.
+func (n *Node) Send(addr string, m *pollenlatch.Message) {
+	lane, b, ok := encode(m)
+	if !ok {
+		return
+	}
+	n.mu.Lock()
+	p := n.peers[addr]
+	if p == nil && !n.closed {
+		p = &peer{node: n, addr: addr}
+		n.peers[addr] = p
+	}
+	n.mu.Unlock()
+	if p == nil {
+		return
+	}
+	p.used.Store(time.Now().UnixNano())
+	if p.queues[lane].push(b) && !n.spawn(func() { p.drain(lane) }) {
+		p.queues[lane].clear()
+	}
+}
+
+// encode returns the frame of a message and the lane that it travels on.
+func encode(m *pollenlatch.Message) (lane int, frame []byte, ok bool) {
+	b, err := pollenlatch.Encode(m)
+	if err != nil {
+		klog.Errorf("encode a control message: %v", err)
+		return 0, nil, false
+	}
+	if len(b) > maxMessage {
+		klog.Errorf("control message of %d bytes exceeds the limit of %d and is dropped", len(b), maxMessage)
+		return 0, nil, false
+	}
+	bulk := m.Records != nil || (m.Delta != nil && m.Delta.Piece != nil) || len(m.Quorum) >= bulkQuorum
+	if bulk {
+		lane = laneBulk
+	}
+	return lane, appendFrame(make([]byte, 0, frameHeader+len(b)), kindMessage, b), true
+}
+
+// queue holds the frames that wait for one lane of a peer. At most one
+// goroutine drains it, and none while it is empty.
+type queue struct {
+	mu      sync.Mutex
+	items   []queued
+	bytes   int
+	drained bool // a goroutine is draining it
+}
+
+type queued struct {
+	frame []byte
+	at    time.Time
+}
+
+// push appends a frame and drops the oldest ones above the bounds. It reports
+// whether the caller must start a goroutine that drains the queue.
+func (q *queue) push(frame []byte) (start bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.items = append(q.items, queued{frame, time.Now()})
+	q.bytes += len(frame)
+	for len(q.items) > 1 && (len(q.items) > queueLength || q.bytes > queueBytes) {
+		q.dropLocked()
+	}
+	start = !q.drained
+	q.drained = true
+	return start
+}
+
+func (q *queue) dropLocked() {
+	q.bytes -= len(q.items[0].frame)
+	q.items[0] = queued{}
+	q.items = q.items[1:]
+	if len(q.items) == 0 {
+		q.items = nil
+	}
+}
+
+// pop removes the oldest frame that is not older than queueAge. When there is
+// none the draining goroutine has ended.
+func (q *queue) pop(now time.Time) (frame []byte, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for len(q.items) > 0 {
+		i := q.items[0]
+		q.dropLocked()
+		if now.Sub(i.at) <= queueAge {
+			return i.frame, true
+		}
+	}
+	q.drained = false
+	return nil, false
+}
+
+// stale drops the frames that are too old and reports whether none is left, in
+// which case the draining goroutine has ended.
+func (q *queue) stale(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for len(q.items) > 0 && now.Sub(q.items[0].at) > queueAge {
+		q.dropLocked()
+	}
+	if len(q.items) == 0 {
+		q.drained = false
+	}
+	return !q.drained
+}
+
+func (q *queue) clear() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.items, q.bytes, q.drained = nil, 0, false
+}
+
+// peer is a daemon that this one sends control messages to.
+type peer struct {
+	node   *Node
+	addr   string
+	used   atomic.Int64 // Unix nanoseconds of the last Send
+	queues [lanes]queue
+
+	mu      sync.Mutex // held while dialling
+	current *ctlSession
+	backoff *backoff.ExponentialBackOff
+	after   time.Time // no dial before
+}
+
+// drain sends what waits on a lane, and connects first if need be.
+func (p *peer) drain(lane int) {
+	q := &p.queues[lane]
+	for {
+		s, wait := p.connect()
+		if s == nil {
+			if q.stale(time.Now()) {
+				return
+			}
+			if !p.node.pause(wait) {
+				q.clear()
+				return
+			}
+			continue
+		}
+		frame, ok := q.pop(time.Now())
+		if !ok {
+			return
+		}
+		s.write(lane, frame)
+	}
+}
+
+// connect returns the open session, or how long to wait before the next try.
+func (p *peer) connect() (*ctlSession, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current != nil && !p.current.session.IsClosed() {
+		return p.current, 0
+	}
+	p.current = nil
+	now := time.Now()
+	if wait := p.after.Sub(now); wait > 0 {
+		return nil, wait
+	}
+	if p.backoff == nil {
+		p.backoff = backoff.NewExponentialBackOff()
+		p.backoff.InitialInterval = redialFirst
+		p.backoff.MaxInterval = redialMost
+	}
+	s, err := p.open()
+	if err != nil {
+		wait := p.backoff.NextBackOff()
+		p.after = time.Now().Add(wait)
+		klog.V(2).Infof("control link to %s: %v; next try in %v", p.addr, err, wait)
+		return nil, wait
+	}
+	p.backoff.Reset()
+	p.current = s
+	return s, 0
+}
+
+func (p *peer) open() (*ctlSession, error) {
+	h, y, err := p.node.dial(p.node.ctx, p.addr, forControl)
+	if err != nil {
+		return nil, err
+	}
+	s := &ctlSession{node: p.node, session: y, peer: p}
+	for i := range s.streams {
+		if s.streams[i], err = y.OpenStream(); err != nil {
+			_ = y.Close()
+			return nil, err
+		}
+	}
+	if !p.node.register(s) {
+		_ = y.Close()
+		return nil, ErrClosed
+	}
+	from := Peer{Name: h.Name, Incarnation: h.Incarnation, Addr: p.addr, send: s.send}
+	for i := range s.streams {
+		if !p.node.spawn(func() { s.read(i, from) }) {
+			s.close()
+			return nil, ErrClosed
+		}
+	}
+	return s, nil
+}
+
+// ctlSession is one control session, dialled or accepted.
+type ctlSession struct {
+	node    *Node
+	session *yamux.Session
+	peer    *peer // nil when accepted
+	streams [lanes]*yamux.Stream
+	locks   [lanes]sync.Mutex // one writer of a stream at a time
+	queues  [lanes]queue      // answers
+}
+
+// serveControl runs an accepted control session until it ends.
+func (n *Node) serveControl(y *yamux.Session, h *hello) {
+	s := &ctlSession{node: n, session: y}
+	if !n.register(s) {
+		_ = y.Close()
+		return
+	}
+	defer s.close()
+	from := Peer{Name: h.Name, Incarnation: h.Incarnation, Addr: y.RemoteAddr().String(), send: s.send}
+	for i := range s.streams {
+		st, err := y.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.streams[i] = st
+	}
+	if !n.spawn(func() { s.read(laneBulk, from) }) {
+		return
+	}
+	s.read(laneMain, from)
+}
+
+func (n *Node) register(s *ctlSession) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.control[s] = struct{}{}
+	return true
+}
+
+// read hands the messages of one stream to the handler until the session ends.
+func (s *ctlSession) read(lane int, from Peer) {
+	defer s.close()
+	r := bufio.NewReaderSize(s.streams[lane], readBuffer)
+	for {
+		k, b, err := readFrame(r, maxMessage)
+		if err != nil {
+			return
+		}
+		if k != kindMessage {
+			klog.Warningf("control link from %s (%s): unexpected frame of kind %d", from.Name, from.Addr, k)
+			return
+		}
+		m := new(pollenlatch.Message)
+		if err := pollenlatch.Decode(b, m); err != nil {
+			klog.Warningf("control link from %s (%s): %v", from.Name, from.Addr, err)
+			return
+		}
+		if s.node.cfg.Control != nil {
+			s.node.cfg.Control(from, m)
+		}
+	}
+}
+
+// send queues an answer.
+func (s *ctlSession) send(m *pollenlatch.Message) {
+	lane, b, ok := encode(m)
+	if !ok || s.session.IsClosed() {
+		return
+	}
+	if s.peer != nil {
+		s.peer.used.Store(time.Now().UnixNano())
+	}
+	q := &s.queues[lane]
+	if !q.push(b) {
+		return
+	}
+	started := s.node.spawn(func() {
+		for {
+			frame, ok := q.pop(time.Now())
+			if !ok {
+				return
+			}
+			s.write(lane, frame)
+		}
+	})
+	if !started {
+		q.clear()
+	}
+}
+
+// write sends one frame, in parts that are short enough for the other lane to
+// get in between. A session whose peer does not take it in time is
+// closed, because a part of the frame may be on the wire.
+func (s *ctlSession) write(lane int, frame []byte) {
+	s.locks[lane].Lock()
+	defer s.locks[lane].Unlock()
+	st := s.streams[lane]
+	timeout := s.node.cfg.WriteTimeout
+	if lane == laneBulk {
+		timeout *= bulkPatience
+	}
+	for len(frame) > 0 {
+		part := frame[:min(len(frame), pollenlatch.PieceBytes)]
+		frame = frame[len(part):]
+		_ = st.SetWriteDeadline(time.Now().Add(timeout))
+		if _, err := st.Write(part); err != nil {
+			if !errors.Is(err, yamux.ErrSessionShutdown) {
+				klog.V(1).Infof("control link to %s: %v", s.session.RemoteAddr(), err)
+			}
+			s.close()
+			return
+		}
+	}
+}
+
+func (s *ctlSession) close() {
+	s.node.mu.Lock()
+	delete(s.node.control, s)
+	s.node.mu.Unlock()
+	_ = s.session.Close()
+}
+
+// reapControl closes dialled control sessions that nothing was sent on.
+func (n *Node) reapControl(now time.Time) {
+	limit := now.Add(-n.cfg.Idle).UnixNano()
+	n.mu.Lock()
+	var idle []*ctlSession
+	for s := range n.control {
+		if s.peer != nil && s.peer.used.Load() < limit {
+			idle = append(idle, s)
+		}
+	}
+	for addr, p := range n.peers {
+		if p.used.Load() < limit && p.idle() {
+			delete(n.peers, addr)
+		}
+	}
+	n.mu.Unlock()
+	for _, s := range idle {
+		s.close()
+	}
+}
+
+// idle reports whether nothing waits for the peer.
+func (p *peer) idle() bool {
+	for i := range p.queues {
+		p.queues[i].mu.Lock()
+		busy := p.queues[i].drained
+		p.queues[i].mu.Unlock()
+		if busy {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/link/node.go
@@ -0,0 +1,342 @@
+// Package link connects daemons. A connection is a yamux session between two
+// holders of the group's shared key. Control messages and request bodies use
+// separate sessions, so that a download never delays a renewal.
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"k8s.io/klog/v2"
+
+	"pollenlatch"
+)
+
+// Defaults of Config.
+const (
+	DefaultWriteTimeout = 250 * time.Millisecond
+	DefaultDialTimeout  = 250 * time.Millisecond
+	DefaultHandshake    = time.Second
+	DefaultUnacked      = 500 * time.Millisecond
+	DefaultKeepAlive    = 2 * time.Second
+	DefaultIdle         = 30 * time.Second
+	DefaultSessions     = 256
+)
+
+const (
+	// handshakes bounds the connections that have not proved the key yet.
+	handshakes = 64
+	keyBytes   = 16 // shortest shared key
+)
+
+// Errors of a node.
+var (
+	ErrClosed = errors.New("node is closed")
+	ErrConfig = errors.New("link settings")
+)
+
+// Config is what a node is made of. Zero durations and numbers stand for the
+// defaults.
+type Config struct {
+	Group       string
+	Name        string // of this instance
+	Incarnation pollenlatch.Incarnation
+	Key         []byte // shared by the group; at least 16 bytes
+
+	// Control takes the control messages of other daemons. It is called by
+	// one goroutine for each stream and must not block for long. nil refuses
+	// control sessions.
+	Control func(from Peer, m *pollenlatch.Message)
+	// Requests runs the requests that other daemons forward. nil refuses them.
+	Requests pollenlatch.Handler
+
+	// Dial opens a connection; nil dials TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	WriteTimeout time.Duration // longest write to a connection
+	DialTimeout  time.Duration
+	Handshake    time.Duration // longest handshake
+	Unacked      time.Duration // longest time that sent data stays unacknowledged
+	KeepAlive    time.Duration // interval of pings on sessions for request bodies
+	Idle         time.Duration // an idle session is closed after this
+	Sessions     int           // most sessions for request bodies, in each direction
+}
+
+func (c Config) withDefaults() Config {
+	if c.Dial == nil {
+		var d net.Dialer
+		c.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+	}
+	for _, v := range []struct {
+		d *time.Duration
+		n time.Duration
+	}{
+		{&c.WriteTimeout, DefaultWriteTimeout},
+		{&c.DialTimeout, DefaultDialTimeout},
+		{&c.Handshake, DefaultHandshake},
+		{&c.Unacked, DefaultUnacked},
+		{&c.KeepAlive, DefaultKeepAlive},
+		{&c.Idle, DefaultIdle},
+	} {
+		if *v.d == 0 {
+			*v.d = v.n
+		}
+	}
+	if c.Sessions == 0 {
+		c.Sessions = DefaultSessions
+	}
+	return c
+}
+
+// Check reports a setting that no node can work with.
+func (c Config) Check() error {
+	switch {
+	case c.Name == "":
+		return fmt.Errorf("%w: no instance name", ErrConfig)
+	case c.Incarnation == 0:
+		return fmt.Errorf("%w: no incarnation", ErrConfig)
+	case len(c.Key) < keyBytes:
+		return fmt.Errorf("%w: shared key has %d bytes, not %d", ErrConfig, len(c.Key), keyBytes)
+	case c.Sessions < 0:
+		return fmt.Errorf("%w: %d sessions", ErrConfig, c.Sessions)
+	default:
+		return nil
+	}
+}
+
+// Node is this process's end of all links. It is safe for concurrent use.
+type Node struct {
+	cfg    Config
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	done   chan struct{}
+	slots  chan struct{} // handshakes in progress
+
+	mu        sync.Mutex
+	closed    bool
+	listeners []net.Listener
+	peers     map[string]*peer         // control, by dialled address
+	control   map[*ctlSession]struct{} // control sessions, dialled and accepted
+}
+
+// New returns a node that neither listens nor has connections. Close ends it.
+func New(cfg Config) (*Node, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg:     cfg.withDefaults(),
+		ctx:     ctx,
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		slots:   make(chan struct{}, handshakes),
+		peers:   make(map[string]*peer),
+		control: make(map[*ctlSession]struct{}),
+	}
+	n.spawn(n.janitor)
+	return n, nil
+}
+
+// spawn runs f in a goroutine that Close waits for. It reports false when the
+// node is closed.
+func (n *Node) spawn(f func()) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.spawnLocked(f)
+}
+
+func (n *Node) spawnLocked(f func()) bool {
+	if n.closed {
+		return false
+	}
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+	return true
+}
+
+// Listen accepts connections of other daemons at a TCP address and returns the
+// address it got.
+func (n *Node) Listen(addr string) (net.Addr, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for links: %w", err)
+	}
+	if err := n.Serve(l); err != nil {
+		return nil, err
+	}
+	return l.Addr(), nil
+}
+
+// Serve accepts connections of other daemons from l until Close, in the
+// background.
+func (n *Node) Serve(l net.Listener) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.spawnLocked(func() { n.accept(l) }) {
+		_ = l.Close()
+		return ErrClosed
+	}
+	n.listeners = append(n.listeners, l)
+	return nil
+}
+
+func (n *Node) accept(l net.Listener) {
+	for {
+		select {
+		case n.slots <- struct{}{}:
+		case <-n.ctx.Done():
+			return
+		}
+		c, err := l.Accept()
+		if err != nil {
+			<-n.slots
+			if n.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			klog.Warningf("accept a link: %v", err)
+			if !n.pause(acceptPause) {
+				return
+			}
+			continue
+		}
+		if !n.spawn(func() { n.welcome(c) }) {
+			_ = c.Close()
+			return
+		}
+	}
+}
+
+// acceptPause keeps a process without free file descriptors from spinning.
+const acceptPause = 10 * time.Millisecond
+
+// pause waits for d. It reports false when the node is closed.
+func (n *Node) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-n.ctx.Done():
+		return false
+	}
+}
+
+// welcome makes a session of an accepted connection. It returns when the
+// session ends.
+func (n *Node) welcome(c net.Conn) {
+	h, s, err := n.admit(c)
+	<-n.slots
+	if err != nil {
+		_ = c.Close()
+		klog.V(1).Infof("link from %s refused: %v", c.RemoteAddr(), err)
+		return
+	}
+	switch {
+	case h.Purpose == forControl && n.cfg.Control != nil:
+		n.serveControl(s, h)
+	case h.Purpose == forData && n.cfg.Requests != nil:
+		n.serveData(s, h)
+	default:
+		_ = s.Close()
+	}
+}
+
+func (n *Node) admit(c net.Conn) (*hello, *yamux.Session, error) {
+	if err := tune(c, n.cfg.Unacked); err != nil {
+		return nil, nil, err
+	}
+	stop := context.AfterFunc(n.ctx, func() { _ = c.Close() })
+	defer stop()
+	h, err := n.handshake(c, false, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := n.session(c, false, h.Purpose)
+	return h, s, err
+}
+
+// dial opens a session to another daemon.
+func (n *Node) dial(ctx context.Context, addr string, p purpose) (*hello, *yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.DialTimeout)
+	defer cancel()
+	c, err := n.cfg.Dial(ctx, addr)
+	if err != nil {
+		return nil, nil, fmt.Errorf("dial: %w", err)
+	}
+	stop := context.AfterFunc(n.ctx, func() { _ = c.Close() })
+	defer stop()
+	if err := tune(c, n.cfg.Unacked); err != nil {
+		_ = c.Close()
+		return nil, nil, err
+	}
+	h, err := n.handshake(c, true, p)
+	if err != nil {
+		_ = c.Close()
+		return nil, nil, fmt.Errorf("connect to %s: %w", addr, err)
+	}
+	s, err := n.session(c, true, p)
+	if err != nil {
+		_ = c.Close()
+		return nil, nil, err
+	}
+	return h, s, nil
+}
+
+// janitor closes idle sessions.
+func (n *Node) janitor() {
+	t := time.NewTicker(max(n.cfg.Idle/4, time.Millisecond))
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			n.reap(now)
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+// reap closes the sessions that have been idle for long enough at now.
+func (n *Node) reap(now time.Time) {
+	n.reapControl(now)
+}
+
+// Close ends all connections and waits for the node's goroutines, also for
+// those that run a handler.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		<-n.done
+		return nil
+	}
+	n.closed = true
+	n.cancel()
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+	open := make([]*ctlSession, 0, len(n.control))
+	for s := range n.control {
+		open = append(open, s)
+	}
+	n.mu.Unlock()
+	for _, s := range open {
+		s.close()
+	}
+	n.wg.Wait()
+	close(n.done)
+	return nil
+}
+
+// Done returns a channel that is closed when Close has finished.
+func (n *Node) Done() <-chan struct{} { return n.done }
