sample: add the sample endpoint server

Cause: tests of the router need a server that accepts fenced grants and shows requests that run twice. Conclusion: go test -race ./sample/ passes; no figures were measured.

--- /dev/null
+++ b/sample/grant.go
@@ -0,0 +1,86 @@
+package sample
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/local"
+)
+
+// Errors of grants and fences.
+var (
+	errIncarnation = errors.New("message is for another incarnation")
+	errSeq         = errors.New("sequence number does not match")
+	errLate        = errors.New("message has expired")
+	errNoGrant     = errors.New("no grant")
+	errFence       = errors.New("fence differs from the grant")
+	errGrantOver   = errors.New("grant has expired")
+)
+
+// holding is the set of grants of one server. Its end is kept on the
+// monotonic clock, because time.Time values from time.Now carry it.
+type holding struct {
+	mu     sync.Mutex
+	seq    uint64
+	end    time.Time
+	fences map[pollenlatch.Shard]pollenlatch.Fence
+}
+
+func (h *holding) replace(g local.Grants, now time.Time) error {
+	left := local.Left(g.TTL, g.Until, now)
+	if left <= 0 {
+		return errLate
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g.Seq <= h.seq {
+		return errSeq
+	}
+	h.seq = g.Seq
+	h.end = now.Add(left)
+	h.fences = make(map[pollenlatch.Shard]pollenlatch.Fence, len(g.Grants))
+	for _, v := range g.Grants {
+		h.fences[v.Shard] = v.Fence
+	}
+	return nil
+}
+
+func (h *holding) extend(e local.Extend, now time.Time) error {
+	left := local.Left(e.TTL, e.Until, now)
+	if left <= 0 {
+		return errLate
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e.Seq != h.seq {
+		return errSeq
+	}
+	h.end = now.Add(left)
+	return nil
+}
+
+func (h *holding) held() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seq
+}
+
+// check reports why a request with the fence must not run now.
+func (h *holding) check(s pollenlatch.Shard, f pollenlatch.Fence, now time.Time) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	have, ok := h.fences[s]
+	switch {
+	case !ok:
+		return errNoGrant
+	case have != f:
+		return fmt.Errorf("%w: granted %d, got %d", errFence, have, f)
+	case !now.Before(h.end):
+		return errGrantOver
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/sample/sample_test.go
@@ -0,0 +1,185 @@
+package sample
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"pollenlatch"
+	"pollenlatch/local"
+)
+
+const testIncarnation = 7
+
+// start runs a server on connections in memory, so that it works inside a
+// synctest bubble.
+func start(t *testing.T, cfg Config) (*Server, *http.Client) {
+	t.Helper()
+	cfg.Endpoint.Service = "listing"
+	cfg.Endpoint.Incarnation = testIncarnation
+	s, err := New(cfg)
+	require.NoError(t, err)
+	ln := fasthttputil.NewInmemoryListener()
+	go func() { _ = s.Serve(ln) }()
+	synctest.Wait()
+	c := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(context.Context, string, string) (net.Conn, error) { return ln.Dial() },
+	}}
+	t.Cleanup(func() {
+		require.NoError(t, s.Close())
+		<-s.Done()
+	})
+	return s, c
+}
+
+type answer struct {
+	StatusCode int
+	Header     http.Header
+}
+
+func send(t *testing.T, c *http.Client, method, path, id string, body any, header ...string) answer {
+	t.Helper()
+	b, err := json.Marshal(body)
+	require.NoError(t, err)
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://server"+path, bytes.NewReader(b))
+	require.NoError(t, err)
+	r.Header.Set(HeaderRequest, id)
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := c.Do(r)
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	return answer{resp.StatusCode, resp.Header}
+}
+
+func grants(seq uint64, ttl time.Duration, f pollenlatch.Fence) local.Grants {
+	return local.Grants{
+		Incarnation: testIncarnation,
+		Seq:         seq,
+		TTL:         ttl.Milliseconds(),
+		Until:       time.Now().Add(ttl).UnixMilli(),
+		Grants:      []pollenlatch.Grant{{Shard: pollenlatch.Shard{Service: "listing", Range: 3}, Fence: f}},
+	}
+}
+
+// A server that runs a request without a valid grant lets two owners run
+// requests of the same key.
+func TestFences(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		shard  string
+		fence  string
+		wait   time.Duration
+		fenced bool
+		status int
+	}{
+		{"granted", "3", "20", 0, true, http.StatusOK},
+		{"absent", "4", "20", 0, true, http.StatusConflict},
+		{"hot key of the range", "3;key=a", "20", 0, true, http.StatusConflict},
+		{"grant is lower", "3", "21", 0, true, http.StatusConflict},
+		{"fence is lower", "3", "19", 0, true, http.StatusConflict},
+		{"expired", "3", "20", 601 * time.Millisecond, true, http.StatusConflict},
+		{"not checked", "4", "20", 0, false, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, client := start(t, Config{Endpoint: pollenlatch.Endpoint{Fenced: c.fenced}})
+				resp := send(t, client, http.MethodPut, local.PathGrants, "", grants(1, 600*time.Millisecond, 20))
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				<-time.After(c.wait)
+				resp = send(t, client, http.MethodPost, "/a", "r1", nil, local.HeaderFence, c.fence, local.HeaderRange, c.shard)
+				require.Equal(t, c.status, resp.StatusCode)
+				if c.status == http.StatusOK {
+					require.Equal(t, 1, s.Ledger().Count("r1"))
+					return
+				}
+				require.Equal(t, notRun, resp.Header.Get(local.HeaderOutcome))
+				require.Zero(t, s.Ledger().Count("r1"))
+			})
+		})
+	}
+}
+
+// An old message that arrives late must not bring back or prolong a grant.
+func TestGrantOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, client := start(t, Config{Endpoint: pollenlatch.Endpoint{Fenced: true}})
+		put := func(g local.Grants) int {
+			return send(t, client, http.MethodPut, local.PathGrants, "", g).StatusCode
+		}
+		old := grants(1, 600*time.Millisecond, 20)
+		require.Equal(t, http.StatusOK, put(grants(2, 600*time.Millisecond, 21)))
+		require.Equal(t, http.StatusConflict, put(old))
+		late := grants(3, 600*time.Millisecond, 22)
+		<-time.After(600 * time.Millisecond)
+		require.Equal(t, http.StatusGone, put(late))
+	})
+}
+
+// A frozen server that resumes must not run what waited in its socket buffer.
+func TestFreeze(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		t.Run(strconv.FormatBool(fenced), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, client := start(t, Config{Endpoint: pollenlatch.Endpoint{Fenced: fenced}})
+				send(t, client, http.MethodPut, local.PathGrants, "", grants(1, 600*time.Millisecond, 20))
+				s.Freeze()
+				deadline := time.Now().Add(2 * time.Second)
+				status := make(chan int)
+				go func() {
+					resp := send(t, client, http.MethodPost, "/a", "r1", nil, local.HeaderFence, "20", local.HeaderRange, "3",
+						local.HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
+					status <- resp.StatusCode
+				}()
+				<-time.After(3 * time.Second)
+				s.Thaw()
+				require.Equal(t, http.StatusGatewayTimeout, <-status)
+				require.Zero(t, s.Ledger().Count("r1"))
+			})
+		})
+	}
+}
+
+// A test that relies on a count that misses runs would not see doubled work.
+func TestRunsAndFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, client := start(t, Config{Endpoint: pollenlatch.Endpoint{Slots: 1}, ServiceTime: time.Second, Cold: time.Second})
+		require.Equal(t, http.StatusServiceUnavailable, send(t, client, http.MethodPost, "/a", "r1", nil).StatusCode)
+		<-time.After(time.Second)
+		require.Equal(t, "1", send(t, client, http.MethodPost, "/a", "r1", nil).Header.Get(HeaderRuns))
+		require.Equal(t, "2", send(t, client, http.MethodPost, "/a", "r1", nil).Header.Get(HeaderRuns))
+		require.Equal(t, map[string]int{"r1": 2}, s.Ledger().Doubled())
+
+		s.SetFault(Fault{Status: http.StatusTeapot, Every: 2})
+		require.Equal(t, http.StatusOK, send(t, client, http.MethodPost, "/a", "r2", nil).StatusCode)
+		require.Equal(t, http.StatusTeapot, send(t, client, http.MethodPost, "/a", "r3", nil).StatusCode)
+
+		s.SetFault(Fault{})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://server/a", nil)
+			_, err := client.Do(r) //nolint:bodyclose // there is no answer
+			require.ErrorIs(t, err, context.Canceled)
+		}()
+		<-time.After(500 * time.Millisecond)
+		require.Equal(t, http.StatusServiceUnavailable, send(t, client, http.MethodPost, "/a", "r4", nil).StatusCode)
+		cancel()
+		synctest.Wait()
+		require.EqualValues(t, 1, s.Stats().Cancelled)
+		require.Zero(t, s.Stats().Running)
+	})
+}
