--- a/local/message.go
+++ b/local/message.go
@@ -111,7 +111,7 @@
 // whose clock shows now. A message that waited in a socket buffer of a frozen
 // server has no time left.
 func Left(ttl, until int64, now time.Time) time.Duration {
-	return time.Duration(min(ttl, until-now.UnixMilli())) * time.Millisecond
+	return min(time.Duration(ttl)*time.Millisecond, time.UnixMilli(until).Sub(now))
 }
 
 // CheckEndpoint reports the first fault of an announcement.
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -244,3 +244,11 @@
 	}
 	return time.Duration(d)
 }
+
+// Check reports whether the server would run a request with the fence now.
+func (s *Server) Check(shard pollenlatch.Shard, f pollenlatch.Fence) error {
+	return s.grants.check(shard, f, time.Now())
+}
+
+// Grant replaces the server's grants, as a message of a daemon does.
+func (s *Server) Grant(g local.Grants) error { return s.grants.replace(g, time.Now()) }
