--- /dev/null
+++ b/plan/balance.go
@@ -0,0 +1,189 @@
+package plan
+
+import (
+	"slices"
+
+	"pollenlatch"
+)
+
+const (
+	reasonLoad   = "owner has more load than the mean"
+	reasonHot    = "hot key on an overloaded owner"
+	reasonCool   = "hot key has cooled"
+	reasonMerged = "hot key is back with its range"
+)
+
+// coolShare of the rate that gives a key a record of its own takes it away.
+const coolShare = 0.3
+
+// balance moves shards from loaded endpoints to others, within the budget.
+func (r *round) balance() {
+	b := r.book
+	if len(r.usable) == 0 || (b.balanced && r.in.Now < b.nextAt) {
+		return
+	}
+	b.nextAt, b.balanced = r.in.Now.Add(r.p.cfg.Every), true
+	b.refill(r.in.Now, r.p.cfg.Budget)
+	r.returnCool()
+	if len(r.usable) < 2 {
+		return
+	}
+	start := startExcess(r.w)
+	order := slices.Clone(r.usable)
+	slices.SortFunc(order, func(x, y *candidate) int {
+		if less(y, x) {
+			return -1
+		}
+		return 1
+	})
+	if order[0].load >= 1+start {
+		b.active = true
+	} else if order[0].load < 1+start*stopShare {
+		b.active = false
+	}
+	if !b.active {
+		return
+	}
+	left := r.p.cfg.Batch
+	defer func() {
+		if left < r.p.cfg.Batch {
+			b.nextAt = r.in.Now.Add(r.p.cfg.Lag) // when the reports show these moves
+		}
+	}()
+	for _, c := range order {
+		if c.load < 1+start*stopShare || left <= 0 || b.tokens <= 0 {
+			return
+		}
+		left -= r.unload(c, left, start)
+	}
+}
+
+// unload moves shards of one endpoint away and returns their number.
+func (r *round) unload(c *candidate, left int, start float64) int {
+	left = min(left, r.p.cfg.Handovers-r.in.Busy[c.id])
+	if left <= 0 {
+		return 0
+	}
+	options := r.options(c)
+	n := 0
+	for _, o := range options {
+		if n == left || r.book.tokens <= 0 || c.load < 1+start*stopShare {
+			break
+		}
+		t := r.relief(c, o)
+		if t == nil {
+			continue
+		}
+		excess := c.load - 1
+		x := r.relative(o.rate, 1)
+		gain := r.w.Imbalance * horizon * excess * r.share(o.rate)
+		cost := r.handCost(o.rate)
+		if gain < cost*stopShare || x <= 0 {
+			continue
+		}
+		reason := reasonLoad
+		if o.Key != "" {
+			reason = reasonHot
+		}
+		r.hand(o, t, reason, gain)
+		r.take(c, o.rate)
+		if o.Key != "" && o.Fence == 0 {
+			r.records++
+		}
+		r.book.tokens -= r.share(o.rate)
+		n++
+	}
+	return n
+}
+
+// options returns the shards of an endpoint that may move, the busiest first:
+// ranges without their hot keys' part, and hot keys alone.
+func (r *round) options(c *candidate) []orphan {
+	e := c.track.shards(r.svc.Name, c.count)
+	var list []orphan
+	own := make(map[string]bool)
+	owns := make(map[pollenlatch.Range]pollenlatch.Owner)
+	r.in.View.Owned(c.id, r.svc.Name, func(o pollenlatch.Owner) bool {
+		if o.Key != "" {
+			own[o.Key] = true
+		} else {
+			owns[o.Range] = o
+		}
+		if !o.Frozen() {
+			list = append(list, orphan{Owner: o, rate: e.of(o.Shard)})
+		}
+		return true
+	})
+	for _, h := range c.track.load.Hot {
+		if r.records >= r.p.cfg.Records {
+			break
+		}
+		if h.Service != r.svc.Name || own[h.Key] || h.Rate < r.p.cfg.Hot*r.mean {
+			continue
+		}
+		rng := pollenlatch.RangeOf(r.svc.Name, h.Key, r.svc.Bits)
+		o, ok := owns[rng]
+		if !ok || o.Frozen() {
+			continue
+		}
+		o.Key, o.Fence = h.Key, 0
+		list = append(list, orphan{Owner: o, rate: h.Rate})
+	}
+	slices.SortFunc(list, byRate)
+	return list
+}
+
+// relief returns the endpoint that should take a shard of an overloaded one:
+// it must stay below both the owner's load and the mean with its slack.
+func (r *round) relief(c *candidate, o orphan) *candidate {
+	t := r.target(c.dc)
+	if t == nil || t == c || r.in.Now.Sub(t.track.since) < r.p.cfg.Settle {
+		return nil
+	}
+	x := r.relative(o.rate, 1)
+	if t.load+x > 1+startExcess(r.w)*stopShare || t.load+x >= c.load {
+		return nil
+	}
+	return t
+}
+
+// returnCool gives hot keys that have cooled back to their ranges.
+func (r *round) returnCool() {
+	keys := make(map[pollenlatch.InstanceID][]pollenlatch.Owner)
+	r.records = 0
+	r.eachKey(func(o pollenlatch.Owner) {
+		r.records++
+		if !o.Frozen() {
+			keys[o.Instance] = append(keys[o.Instance], o)
+		}
+	})
+	for _, c := range r.usable {
+		if k := keys[c.id]; len(k) > 0 {
+			r.cool(c, k)
+		}
+	}
+}
+
+func (r *round) cool(c *candidate, keys []pollenlatch.Owner) {
+	e := c.track.shards(r.svc.Name, c.count)
+	slices.SortFunc(keys, func(a, b pollenlatch.Owner) int { return compareShards(a.Shard, b.Shard) })
+	room := r.p.cfg.Handovers - r.in.Busy[c.id]
+	for _, k := range keys {
+		rate := e.byKey[k.Key]
+		if rate >= coolShare*r.p.cfg.Hot*r.mean {
+			continue
+		}
+		home, ok := r.in.View.OwnerAt(pollenlatch.Shard{Service: k.Service, Range: k.Range})
+		if !ok || home.Frozen() {
+			continue
+		}
+		if home.Instance == c.id {
+			r.moves = append(r.moves, pollenlatch.Move{Shard: k.Shard, From: c.id, Fence: k.Fence, Reason: reasonMerged})
+			continue
+		}
+		if t, ok := r.byID[home.Instance]; ok && room > 0 {
+			r.hand(orphan{Owner: k, rate: rate}, t, reasonCool, 0)
+			room--
+		}
+	}
+}
--- /dev/null
+++ b/plan/lost.go
@@ -0,0 +1,247 @@
+package plan
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"pollenlatch"
+)
+
+// Reasons of moves.
+const (
+	reasonNever   = "never assigned"
+	reasonLost    = "owner lost"
+	reasonBack    = "owner is back"
+	reasonLeaving = "owner is leaving"
+	reasonRetry   = "target of the hand-over is not usable"
+)
+
+// orphan is a shard that needs an owner, with its estimated rate.
+type orphan struct {
+	pollenlatch.Owner
+	rate float64
+}
+
+// byRate orders orphans from the busiest, so that the last ones even out.
+func byRate(a, b orphan) int {
+	if c := cmp.Compare(b.rate, a.rate); c != 0 {
+		return c
+	}
+	return compareShards(a.Shard, b.Shard)
+}
+
+func compareShards(a, b pollenlatch.Shard) int {
+	if c := cmp.Compare(a.Range, b.Range); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Key, b.Key)
+}
+
+// assignLost gives an owner to the shards that have none and may have one.
+func (r *round) assignLost() {
+	if len(r.usable) == 0 {
+		return
+	}
+	var lost []orphan
+	r.in.View.Owned(0, r.svc.Name, func(o pollenlatch.Owner) bool {
+		lost = append(lost, orphan{Owner: o})
+		return true
+	})
+	if len(lost) == 0 {
+		r.book.waved = false
+		return
+	}
+	r.estimate(lost)
+	slices.SortFunc(lost, byRate)
+	wave := !r.book.waved || r.in.Now.Sub(r.book.waveAt) >= waveEvery
+	for _, o := range lost {
+		r.assign(o, wave)
+	}
+	if wave {
+		r.book.waveAt, r.book.waved = r.in.Now, true
+	}
+}
+
+// estimate fills in rates from the last report of each last owner, and adds
+// them to the service's.
+func (r *round) estimate(lost []orphan) {
+	held := make(map[pollenlatch.InstanceID]int)
+	for _, o := range lost {
+		held[o.Last]++
+	}
+	known := make(map[pollenlatch.InstanceID]rates, len(held))
+	added := 0.0
+	for i := range lost {
+		id := lost[i].Last
+		t := r.p.tracks[id]
+		if t == nil {
+			lost[i].rate = r.rate / float64(r.svc.Ranges())
+			continue
+		}
+		e, ok := known[id]
+		if !ok {
+			e = t.shards(r.svc.Name, held[id])
+			known[id] = e
+		}
+		lost[i].rate = e.of(lost[i].Shard)
+		added += lost[i].rate
+	}
+	if added > 0 {
+		r.rate += added
+		r.mean = r.rate / float64(len(r.usable))
+		for _, c := range r.usable {
+			c.load = r.relative(c.rate, c.count)
+		}
+		for _, h := range r.homes {
+			heap.Init(h)
+		}
+	}
+}
+
+// assign gives one shard without owner to an endpoint, if it may have one now.
+func (r *round) assign(o orphan, wave bool) {
+	last, back := r.byID[o.Last]
+	reason := reasonLost
+	switch {
+	case o.Last == 0:
+		reason = reasonNever
+	case back && !r.damped(last):
+		r.place(o, last, reasonBack)
+		return
+	case r.in.Held.Has(o.Last):
+		if back {
+			r.place(o, last, reasonBack)
+		}
+		return
+	case r.waits(o.Last):
+		return
+	}
+	c := r.target(r.dcOf(o.Last))
+	if c == nil {
+		return
+	}
+	if !r.room(c, o.rate, wave) {
+		return
+	}
+	r.place(o, c, reason)
+}
+
+// room reports whether an endpoint may take a lost shard now. Beyond its safe
+// rate it takes the rest in waves, so that survivors of a mass loss warm up
+// and shed instead of failing one after the other.
+func (r *round) room(c *candidate, rate float64, wave bool) bool {
+	if c.limit <= 0 || c.rate+rate <= c.limit {
+		return true
+	}
+	if !wave {
+		return false
+	}
+	return c.rate+rate <= max(c.limit, c.track.load.Rate)*(1+waveShare)
+}
+
+// waits reports whether the shards of an instance wait for its return.
+func (r *round) waits(id pollenlatch.InstanceID) bool {
+	t := r.p.tracks[id]
+	if t == nil || !t.draining {
+		return false
+	}
+	return r.in.Now.Sub(t.since) < r.p.cfg.restartWait(r.w)
+}
+
+func (r *round) dcOf(id pollenlatch.InstanceID) string {
+	i, _ := r.in.View.Instance(id)
+	return i.DC
+}
+
+func (r *round) place(o orphan, c *candidate, reason string) {
+	r.moves = append(r.moves, pollenlatch.Move{
+		Shard: o.Shard, To: c.id, Fence: o.Fence, Reason: reason,
+		Gain: r.w.Unavailable * r.share(o.rate),
+		Cost: r.churn(o, c),
+	})
+	r.give(c, o.rate)
+}
+
+// churn returns the cost of an assignment: none when the owner stays the same.
+func (r *round) churn(o orphan, c *candidate) float64 {
+	if o.Last == 0 || o.Last == c.id {
+		return 0
+	}
+	return r.w.Churn * r.share(o.rate)
+}
+
+// drain starts hand-overs of the shards of leaving endpoints.
+func (r *round) drain() {
+	if len(r.usable) == 0 {
+		return
+	}
+	for _, id := range r.leaving {
+		if !r.waits(id) {
+			r.drainOne(id)
+		}
+	}
+}
+
+func (r *round) drainOne(id pollenlatch.InstanceID) {
+	var shards []orphan
+	n := 0
+	r.in.View.Owned(id, r.svc.Name, func(o pollenlatch.Owner) bool {
+		n++
+		shards = append(shards, orphan{Owner: o})
+		return true
+	})
+	if n == 0 {
+		return
+	}
+	t := r.p.tracks[id]
+	if t == nil {
+		t = &track{}
+	}
+	e := t.shards(r.svc.Name, n)
+	for i := range shards {
+		shards[i].rate = e.of(shards[i].Shard)
+	}
+	slices.SortFunc(shards, byRate)
+	room := r.p.cfg.Drains - r.in.Busy[id]
+	for _, o := range shards {
+		retry := o.Frozen() && !r.usableID(o.Next)
+		if o.Frozen() && !retry {
+			continue
+		}
+		if !retry && room <= 0 {
+			continue
+		}
+		c := r.target(r.dcOf(id))
+		if c == nil {
+			return
+		}
+		reason := reasonLeaving
+		if retry {
+			reason = reasonRetry
+		} else {
+			room--
+		}
+		r.hand(o, c, reason, r.w.Unavailable*r.share(o.rate))
+	}
+}
+
+func (r *round) usableID(id pollenlatch.InstanceID) bool {
+	_, ok := r.byID[id]
+	return ok
+}
+
+// hand adds a hand-over from the present owner.
+func (r *round) hand(o orphan, c *candidate, reason string, gain float64) {
+	r.moves = append(r.moves, pollenlatch.Move{
+		Shard: o.Shard, From: o.Instance, To: c.id, Fence: o.Fence, Reason: reason,
+		Gain: gain, Cost: r.handCost(o.rate),
+	})
+	r.give(c, o.rate)
+}
+
+// handCost returns the cost of a hand-over: the churn and the time for which
+// requests wait.
+func (r *round) handCost(rate float64) float64 {
+	return r.share(rate) * (r.w.Churn + r.w.Unavailable*handover.Seconds())
+}
--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,150 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+	"pollenlatch/plan"
+	"pollenlatch/trial"
+)
+
+const bits = 7
+
+var second = pollenlatch.Mono(time.Second)
+
+func service(w pollenlatch.Weights) pollenlatch.Service {
+	return pollenlatch.Service{Name: "listing", Keyed: true, Bits: bits, Weights: w}
+}
+
+// full returns a world of n endpoints over 4 data centres with all ranges
+// assigned by the planner at time 0.
+func full(t *testing.T, p *plan.Planner, s pollenlatch.Service, n int) *trial.World {
+	t.Helper()
+	w := trial.NewWorld(s)
+	for i := range n {
+		w.Join(fmt.Sprintf("dc%d", i%4), 10)
+	}
+	apply(w, p.Plan(pollenlatch.Placement{View: w}))
+	require.Zero(t, w.OwnedCount(0, s.Name))
+	return w
+}
+
+func apply(w *trial.World, moves []pollenlatch.Move) {
+	for _, m := range moves {
+		w.Assign(m.Shard, m.To)
+	}
+}
+
+// even returns reports of r requests a second for each endpoint.
+func even(n int, r float64) map[pollenlatch.InstanceID]pollenlatch.Load {
+	l := make(map[pollenlatch.InstanceID]pollenlatch.Load)
+	for i := range n {
+		l[pollenlatch.InstanceID(i+1)] = pollenlatch.Load{Rate: r}
+	}
+	return l
+}
+
+// Shards left on an endpoint that is gone are unavailable; shards all given to
+// one survivor overload it.
+func TestLoss(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	t.Run("spread over the rest", func(t *testing.T) {
+		var p plan.Planner
+		w := full(t, &p, s, 8)
+		w.Expire(3)
+		moves := p.Plan(pollenlatch.Placement{View: w, Now: second})
+		require.Len(t, moves, 16)
+		apply(w, moves)
+		for id := range 8 {
+			if id+1 != 3 {
+				require.InDelta(t, 18.3, w.OwnedCount(pollenlatch.InstanceID(id+1), s.Name), 2)
+			}
+		}
+	})
+	t.Run("held shards wait", func(t *testing.T) {
+		var p plan.Planner
+		w := full(t, &p, s, 8)
+		w.Expire(3)
+		in := pollenlatch.Placement{View: w, Held: pollenlatch.SetOf[pollenlatch.InstanceID](3), Now: second}
+		require.Empty(t, p.Plan(in))
+		w.Rejoin(3)
+		moves := p.Plan(in)
+		require.Len(t, moves, 16)
+		for _, m := range moves {
+			require.Equal(t, pollenlatch.InstanceID(3), m.To)
+		}
+	})
+	t.Run("no endpoint left", func(t *testing.T) {
+		var p plan.Planner
+		w := full(t, &p, s, 1)
+		w.Expire(1)
+		require.Empty(t, p.Plan(pollenlatch.Placement{View: w, Now: second}))
+	})
+}
+
+// A leaving endpoint with too many hand-overs at once stalls all of its keys;
+// one without any keeps work that it must not get.
+func TestDrainIsBounded(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	p := plan.New(plan.Settings{Drains: 5})
+	w := full(t, p, s, 8)
+	w.Announce(2, true, true)
+	in := pollenlatch.Placement{View: w, Now: second, Busy: map[pollenlatch.InstanceID]int{2: 2}}
+	moves := p.Plan(in)
+	require.Len(t, moves, 3)
+	for _, m := range moves {
+		require.Equal(t, pollenlatch.InstanceID(2), m.From)
+		require.NotEqual(t, m.From, m.To)
+		w.Freeze(m.Shard, m.To)
+	}
+	in.Busy[2] = 5
+	require.Empty(t, p.Plan(in), "frozen shards are not moved again")
+	w.Announce(moves[0].To, false, false)
+	again := p.Plan(in)
+	require.NotEmpty(t, again, "a hand-over to a lost target needs another target")
+}
+
+// Moving for a gain below the cost is churn without use.
+func TestBalanceHasHysteresis(t *testing.T) {
+	s := service(pollenlatch.Weights{Imbalance: 1, Churn: 5, Unavailable: 1})
+	for _, c := range []struct {
+		name  string
+		rate  float64 // of endpoint 1; the others have 100
+		moves bool
+	}{{"even", 100, false}, {"inside the band", 110, false}, {"overloaded", 200, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			var p plan.Planner
+			w := full(t, &p, s, 8)
+			l := even(8, 100)
+			l[1] = pollenlatch.Load{Rate: c.rate}
+			moves := p.Plan(pollenlatch.Placement{View: w, Loads: l, Now: 100 * second})
+			require.Equal(t, c.moves, len(moves) > 0)
+			for _, m := range moves {
+				require.Equal(t, pollenlatch.InstanceID(1), m.From)
+				require.Greater(t, m.Gain, 0.0)
+			}
+		})
+	}
+}
+
+// A planner that depends on map order would give two leaders different plans.
+func TestPlanIsDeterministic(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	run := func() []pollenlatch.Move {
+		var p plan.Planner
+		w := full(t, &p, s, 9)
+		l := even(9, 100)
+		l[4] = pollenlatch.Load{Rate: 400, Hot: []pollenlatch.HotKey{{Service: s.Name, Key: "a", Rate: 90}}}
+		w.Expire(2)
+		return p.Plan(pollenlatch.Placement{View: w, Loads: l, Now: 100 * second})
+	}
+	first := run()
+	require.NotEmpty(t, first)
+	for range 5 {
+		require.Equal(t, first, run())
+	}
+}
--- /dev/null
+++ b/plan/round.go
@@ -0,0 +1,238 @@
+package plan
+
+import (
+	"container/heap"
+	"slices"
+
+	"pollenlatch"
+)
+
+// candidate is an endpoint that may get shards.
+type candidate struct {
+	id    pollenlatch.InstanceID
+	dc    string
+	track *track
+	count int     // shards
+	rate  float64 // requests a second
+	load  float64 // relative to the mean endpoint's; 1 is the mean
+	limit float64 // rate up to which lost shards are given to it now
+	index int     // in its heap
+}
+
+// round is the planning of one service at one moment.
+type round struct {
+	p       *Planner
+	in      pollenlatch.Placement
+	svc     pollenlatch.Service
+	w       pollenlatch.Weights
+	book    *book
+	usable  []*candidate // by ID
+	byID    map[pollenlatch.InstanceID]*candidate
+	leaving []pollenlatch.InstanceID // alive or not, may own shards, not usable
+	homes   map[string]*minHeap      // by data centre
+	dcs     []string
+	rate    float64 // of the whole service
+	mean    float64 // rate of the mean usable endpoint
+	shards  float64 // mean number of shards of a usable endpoint
+	records int     // hot keys with a record of their own
+	moves   []pollenlatch.Move
+}
+
+func (p *Planner) newRound(in pollenlatch.Placement, s pollenlatch.Service, b *book) *round {
+	r := &round{
+		p: p, in: in, svc: s, w: weights(s), book: b,
+		byID: make(map[pollenlatch.InstanceID]*candidate),
+	}
+	var known []pollenlatch.InstanceID
+	for _, i := range in.View.Endpoints(s.Name) {
+		known = append(known, i.ID)
+		r.endpoint(i)
+	}
+	r.strangers(known)
+	r.book.owners = append(known, r.leaving...)
+	slices.Sort(r.book.owners)
+	r.book.owners = slices.Compact(r.book.owners)
+	r.measure()
+	return r
+}
+
+// endpoint files one endpoint of the service as usable or leaving.
+func (r *round) endpoint(i pollenlatch.Instance) {
+	t := r.p.tracks[i.ID]
+	if t == nil {
+		t = &track{}
+		r.p.tracks[i.ID] = t
+	}
+	t.observe(i, r.in.Now)
+	if l, ok := r.in.Loads[i.ID]; ok {
+		t.load = l
+	}
+	if !i.Usable() || !r.allowed(i.DC) {
+		r.leaving = append(r.leaving, i.ID)
+		return
+	}
+	c := &candidate{id: i.ID, dc: i.DC, track: t, count: countOwned(r.in.View, i.ID, r.svc.Name), rate: t.rate(r.in.Now)}
+	if l := t.load; l.Median > 0 && i.Endpoint.Slots > 0 {
+		c.limit = safeUse * float64(i.Endpoint.Slots) / l.Median.Seconds()
+	}
+	r.usable = append(r.usable, c)
+	r.byID[c.id] = c
+}
+
+// strangers adds instances that own shards but are no endpoints of the service
+// any more.
+func (r *round) strangers(known []pollenlatch.InstanceID) {
+	for _, id := range r.book.owners {
+		if slices.Contains(known, id) {
+			continue
+		}
+		if countOwned(r.in.View, id, r.svc.Name) > 0 {
+			r.leaving = append(r.leaving, id)
+		}
+	}
+	slices.Sort(r.leaving)
+	r.leaving = slices.Compact(r.leaving)
+}
+
+// allowed reports whether the service may run in a data centre.
+func (r *round) allowed(dc string) bool {
+	return len(r.svc.DCs) == 0 || slices.Contains(r.svc.DCs, dc)
+}
+
+// measure fills in means and relative loads, and the heaps of targets.
+func (r *round) measure() {
+	if len(r.usable) == 0 {
+		return
+	}
+	n := float64(len(r.usable))
+	for _, c := range r.usable {
+		r.rate += c.rate
+	}
+	for _, id := range r.leaving {
+		if t := r.p.tracks[id]; t != nil && countOwned(r.in.View, id, r.svc.Name) > 0 {
+			r.rate += t.load.Rate
+		}
+	}
+	r.mean = r.rate / n
+	r.shards = max(float64(r.svc.Ranges())/n, 1)
+	r.homes = make(map[string]*minHeap)
+	for _, c := range r.usable {
+		c.load = r.relative(c.rate, c.count)
+		if r.damped(c) {
+			continue
+		}
+		h := r.homes[c.dc]
+		if h == nil {
+			h = &minHeap{}
+			r.homes[c.dc] = h
+			r.dcs = append(r.dcs, c.dc)
+		}
+		c.index = len(*h)
+		*h = append(*h, c)
+	}
+	slices.Sort(r.dcs)
+	for _, dc := range r.dcs {
+		heap.Init(r.homes[dc])
+	}
+}
+
+// relative returns a load relative to the mean endpoint's.
+func (r *round) relative(rate float64, count int) float64 {
+	byCount := float64(count) / r.shards
+	if r.mean <= 0 {
+		return byCount
+	}
+	return (1-countShare)*rate/r.mean + countShare*byCount
+}
+
+// damped reports whether an endpoint failed too often lately to get shards
+// while others are usable.
+func (r *round) damped(c *candidate) bool {
+	if c.track.flaps(r.in.Now) < flapLimit {
+		return false
+	}
+	steady := 0
+	for _, o := range r.usable {
+		if o.track.flaps(r.in.Now) < flapLimit {
+			steady++
+		}
+	}
+	return steady > 0
+}
+
+// target returns the best endpoint for a shard whose last owner was in a data
+// centre, without the excluded one; nil when there is none.
+func (r *round) target(dc string) *candidate {
+	var best *candidate
+	for _, d := range r.dcs {
+		if h := *r.homes[d]; len(h) > 0 && (best == nil || less(h[0], best)) {
+			best = h[0]
+		}
+	}
+	if h, ok := r.homes[dc]; ok && len(*h) > 0 && best != nil && (*h)[0].load <= best.load+homeSlack {
+		return (*h)[0]
+	}
+	return best
+}
+
+// give counts a shard for its new owner.
+func (r *round) give(c *candidate, rate float64) {
+	c.count++
+	c.rate += rate
+	c.load = r.relative(c.rate, c.count)
+	c.track.adjust(r.in.Now.Add(r.p.cfg.Lag), rate)
+	if h, ok := r.homes[c.dc]; ok && c.index < len(*h) && (*h)[c.index] == c {
+		heap.Fix(h, c.index)
+	}
+}
+
+// take counts a shard away from its owner.
+func (r *round) take(c *candidate, rate float64) {
+	c.count--
+	c.rate = max(c.rate-rate, 0)
+	c.load = r.relative(c.rate, c.count)
+	c.track.adjust(r.in.Now.Add(r.p.cfg.Lag), -rate)
+	if h, ok := r.homes[c.dc]; ok && c.index < len(*h) && (*h)[c.index] == c {
+		heap.Fix(h, c.index)
+	}
+}
+
+// share returns the share of the service's load that a rate is.
+func (r *round) share(rate float64) float64 {
+	if r.rate <= 0 {
+		return 1 / float64(r.svc.Ranges())
+	}
+	return rate / r.rate
+}
+
+// minHeap orders candidates by load.
+type minHeap []*candidate
+
+func less(a, b *candidate) bool {
+	if a.load != b.load {
+		return a.load < b.load
+	}
+	return a.id < b.id
+}
+
+func (h minHeap) Len() int           { return len(h) }
+func (h minHeap) Less(i, j int) bool { return less(h[i], h[j]) }
+func (h minHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push is part of heap.Interface.
+func (h *minHeap) Push(x any) {
+	c := x.(*candidate)
+	c.index = len(*h)
+	*h = append(*h, c)
+}
+
+// Pop is part of heap.Interface.
+func (h *minHeap) Pop() any {
+	old := *h
+	c := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return c
+}
--- /dev/null
+++ b/plan/settings.go
@@ -0,0 +1,122 @@
+package plan
+
+import (
+	"time"
+
+	"pollenlatch"
+)
+
+// Settings bounds what a plan may do. A zero field takes its default.
+type Settings struct {
+	Every     time.Duration // least time between two balancing rounds of a service; default 1 s
+	Batch     int           // most balancing moves of a service in one round; default 64
+	Handovers int           // hand-overs in progress of an owner that balancing may fill; default 8
+	Drains    int           // hand-overs in progress of a leaving owner; default 64
+	Settle    time.Duration // how long a new endpoint must be usable before balancing uses it; default 3 s
+	Budget    float64       // share of a service's load that balancing may move in a minute; default 0.3
+	Lag       time.Duration // how long load reports lag behind a move; default 3 s
+	Restart   time.Duration // expected time of a graceful restart; default 5 s
+	MaxWait   time.Duration // longest wait for the owner after a graceful stop; default 15 s
+	Hot       float64       // rate of a hot key relative to the mean endpoint's; default 0.1
+	Records   int           // most hot keys of a service with a record of their own; default 256
+}
+
+// Defaults of Settings, and the constants of the cost model.
+const (
+	defaultEvery     = time.Second
+	defaultBatch     = 64
+	defaultHandovers = 8
+	defaultDrains    = 64
+	defaultSettle    = 3 * time.Second
+	defaultBudget    = 0.3
+	defaultLag       = 3 * time.Second
+	defaultRestart   = 5 * time.Second
+	defaultMaxWait   = 15 * time.Second
+	defaultHot       = 0.1
+	defaultRecords   = 256
+
+	// countShare is the part of an endpoint's load that its number of shards
+	// stands for, so that unreported shards are spread too.
+	countShare = 0.15
+	// horizon is how often an imbalance is paid for until the load changes
+	// again, in units of one move's churn.
+	horizon = 20
+	// minStart and maxStart bound the excess over the mean that starts
+	// balancing; stopShare of it ends balancing.
+	minStart  = 0.05
+	maxStart  = 0.25
+	stopShare = 0.6
+	// homeSlack is how much more load, relative to the mean, a target in the
+	// shard's data centre may have than the best target elsewhere.
+	homeSlack = 0.10
+	// flapHalf is the half-life of the penalty of an endpoint that became
+	// unusable; flapLimit is the penalty from which it gets no shards while
+	// other endpoints are usable.
+	flapHalf  = 60 * time.Second
+	flapLimit = 1.5
+	// handover is the time for which a planned move makes a shard wait.
+	handover = 30 * time.Millisecond
+	// away is the number of moves that waiting for a restarted owner saves:
+	// one to another endpoint and one back.
+	away = 2
+	// safeUse is the utilisation of an endpoint's slots up to which lost
+	// shards are given to it at once; waveShare is the growth per wave beyond.
+	safeUse   = 0.8
+	waveShare = 0.5
+	waveEvery = time.Second
+)
+
+func or[T comparable](v, d T) T {
+	var zero T
+	if v == zero {
+		return d
+	}
+	return v
+}
+
+func (s Settings) withDefaults() Settings {
+	s.Every = or(s.Every, defaultEvery)
+	s.Batch = or(s.Batch, defaultBatch)
+	s.Handovers = or(s.Handovers, defaultHandovers)
+	s.Drains = or(s.Drains, defaultDrains)
+	s.Settle = or(s.Settle, defaultSettle)
+	s.Budget = or(s.Budget, defaultBudget)
+	s.Lag = or(s.Lag, defaultLag)
+	s.Restart = or(s.Restart, defaultRestart)
+	s.MaxWait = or(s.MaxWait, defaultMaxWait)
+	s.Hot = or(s.Hot, defaultHot)
+	s.Records = or(s.Records, defaultRecords)
+	return s
+}
+
+// weights returns the service's weights, or 1 each when it has none.
+func weights(s pollenlatch.Service) pollenlatch.Weights {
+	w := s.Weights
+	if w.Imbalance <= 0 && w.Churn <= 0 && w.Unavailable <= 0 {
+		return pollenlatch.Weights{Imbalance: 1, Churn: 1, Unavailable: 1}
+	}
+	return w
+}
+
+// startExcess returns the excess over the mean load from which a move gains
+// more than it costs.
+func startExcess(w pollenlatch.Weights) float64 {
+	if w.Imbalance <= 0 {
+		return maxStart
+	}
+	return min(max(w.Churn/(w.Imbalance*horizon), minStart), maxStart)
+}
+
+// restartWait returns how long shards wait for an owner that stopped
+// gracefully: not at all unless the expected restart costs less than the
+// churn, and then until the wait has cost as much as the churn.
+func (s Settings) restartWait(w pollenlatch.Weights) time.Duration {
+	wait := s.MaxWait
+	if w.Unavailable > 0 {
+		wait = min(wait, time.Duration(away*w.Churn/w.Unavailable*float64(time.Second)))
+	}
+	if wait < s.Restart {
+		return 0
+	}
+	return wait
+}
--- /dev/null
+++ b/plan/track.go
@@ -0,0 +1,124 @@
+package plan
+
+import (
+	"math"
+	"time"
+
+	"pollenlatch"
+)
+
+// track is what the planner remembers of one instance.
+type track struct {
+	service   string // of its endpoint
+	usable    bool
+	since     pollenlatch.Mono // when usable last changed
+	draining  bool             // it said that it leaves
+	penalty   float64          // times it became unusable without saying so, decayed
+	penaltyAt pollenlatch.Mono
+	load      pollenlatch.Load // newest report
+	pending   []adjustment
+	seen      bool
+}
+
+// adjustment corrects a load report for a move that it does not show yet.
+type adjustment struct {
+	until pollenlatch.Mono
+	rate  float64 // requests a second
+}
+
+// observe updates the track from the view.
+func (t *track) observe(i pollenlatch.Instance, now pollenlatch.Mono) {
+	usable := i.Usable()
+	if i.Endpoint != nil {
+		t.service = i.Endpoint.Service
+	}
+	leaves := i.Endpoint != nil && i.Endpoint.Draining
+	switch {
+	case !t.seen:
+		t.seen = true
+		t.since = now.Add(-time.Hour) // usable for long before this planner started
+		t.usable = usable
+		if !usable {
+			t.since = now
+		}
+	case usable != t.usable:
+		if !usable && !leaves {
+			t.penalty = t.flaps(now) + 1
+			t.penaltyAt = now
+		}
+		t.usable = usable
+		t.since = now
+	}
+	t.draining = leaves
+}
+
+// flaps returns the decayed number of times that the endpoint failed.
+func (t *track) flaps(now pollenlatch.Mono) float64 {
+	return t.penalty * math.Exp2(-now.Sub(t.penaltyAt).Seconds()/flapHalf.Seconds())
+}
+
+// rate returns the reported rate with the moves that it does not show yet.
+func (t *track) rate(now pollenlatch.Mono) float64 {
+	r := t.load.Rate
+	kept := t.pending[:0]
+	for _, a := range t.pending {
+		if now < a.until {
+			kept = append(kept, a)
+			r += a.rate
+		}
+	}
+	t.pending = kept
+	return max(r, 0)
+}
+
+// adjust notes a move that changes the rate.
+func (t *track) adjust(until pollenlatch.Mono, rate float64) {
+	if n := len(t.pending); n > 0 && t.pending[n-1].until == until {
+		t.pending[n-1].rate += rate
+		return
+	}
+	t.pending = append(t.pending, adjustment{until: until, rate: rate})
+}
+
+// rates holds the estimated rates of one instance's shards.
+type rates struct {
+	byRange map[pollenlatch.Range]float64
+	byKey   map[string]float64
+	rest    float64 // of a shard that the report does not name
+}
+
+// shards estimates the rate of each shard of a service from the newest report.
+// owned is the number of shards.
+func (t *track) shards(service string, owned int) rates {
+	r := rates{
+		byRange: make(map[pollenlatch.Range]float64, len(t.load.Ranges)),
+		byKey:   make(map[string]float64, len(t.load.Hot)),
+	}
+	sum := 0.0
+	for _, l := range t.load.Ranges {
+		if l.Service == service && l.Rate > 0 {
+			r.byRange[l.Range] = l.Rate
+			sum += l.Rate
+		}
+	}
+	for _, h := range t.load.Hot {
+		if h.Service == service && h.Rate > 0 {
+			r.byKey[h.Key] = h.Rate
+		}
+	}
+	if n := owned - len(r.byRange); n > 0 {
+		r.rest = max(t.load.Rate-sum, 0) / float64(n)
+	}
+	return r
+}
+
+// of returns the estimated rate of a shard.
+func (r rates) of(s pollenlatch.Shard) float64 {
+	if s.Key != "" {
+		return r.byKey[s.Key]
+	}
+	if v, ok := r.byRange[s.Range]; ok {
+		return v
+	}
+	return r.rest
+}
