Follow the owner table by its changes

Cause: the state package lists an instance's shards by scanning the whole table, so a count for each of 4,900 endpoints would take seconds. Change: the planner keeps its own index of ranges by owner. Hot keys go back to their range in one move with To 0, as the state applies it; a hand-over to an unusable target is cancelled.

--- a/plan/balance.go
+++ b/plan/balance.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	reasonLoad   = "owner has more load than the mean"
-	reasonHot    = "hot key on an overloaded owner"
-	reasonCool   = "hot key has cooled"
-	reasonMerged = "hot key is back with its range"
+	reasonLoad = "owner has more load than the mean"
+	reasonHot  = "hot key on an overloaded owner"
+	reasonCool = "hot key has cooled"
 )
 
 // coolShare of the rate that gives a key a record of its own takes it away.
@@ -87,8 +86,8 @@
 		}
 		r.hand(o, t, reason, gain)
 		r.take(c, o.rate)
-		if o.Key != "" && o.Fence == 0 {
-			r.records++
+		if o.Key != "" {
+			r.book.index.records++ // until the next view counts it
 		}
 		r.book.tokens -= r.share(o.rate)
 		n++
@@ -99,23 +98,23 @@
 // options returns the shards of an endpoint that may move, the busiest first:
 // ranges without their hot keys' part, and hot keys alone.
 func (r *round) options(c *candidate) []orphan {
-	e := c.track.shards(r.svc.Name, c.count)
+	e := c.track.shards(r.svc.Name, r.book.index.count(c.id))
 	var list []orphan
 	own := make(map[string]bool)
 	owns := make(map[pollenlatch.Range]pollenlatch.Owner)
-	r.in.View.Owned(c.id, r.svc.Name, func(o pollenlatch.Owner) bool {
+	for _, o := range r.book.index.owned(r.in.View, r.svc.Name, c.id) {
 		if o.Key != "" {
 			own[o.Key] = true
 		} else {
-			owns[o.Range] = o
+			owns[o.Range] = o.Owner
 		}
 		if !o.Frozen() {
-			list = append(list, orphan{Owner: o, rate: e.of(o.Shard)})
+			o.rate = e.of(o.Shard)
+			list = append(list, o)
 		}
-		return true
-	})
+	}
 	for _, h := range c.track.load.Hot {
-		if r.records >= r.p.cfg.Records {
+		if r.book.index.records >= r.p.cfg.Records {
 			break
 		}
 		if h.Service != r.svc.Name || own[h.Key] || h.Rate < r.p.cfg.Hot*r.mean {
@@ -126,7 +125,7 @@
 		if !ok || o.Frozen() {
 			continue
 		}
-		o.Key, o.Fence = h.Key, 0
+		o.Key = h.Key
 		list = append(list, orphan{Owner: o, rate: h.Rate})
 	}
 	slices.SortFunc(list, byRate)
@@ -149,16 +148,8 @@
 
 // returnCool gives hot keys that have cooled back to their ranges.
 func (r *round) returnCool() {
-	keys := make(map[pollenlatch.InstanceID][]pollenlatch.Owner)
-	r.records = 0
-	r.eachKey(func(o pollenlatch.Owner) {
-		r.records++
-		if !o.Frozen() {
-			keys[o.Instance] = append(keys[o.Instance], o)
-		}
-	})
 	for _, c := range r.usable {
-		if k := keys[c.id]; len(k) > 0 {
+		if k := r.book.index.keys[c.id]; len(k) > 0 {
 			r.cool(c, k)
 		}
 	}
@@ -166,24 +157,19 @@
 
 func (r *round) cool(c *candidate, keys []pollenlatch.Owner) {
 	e := c.track.shards(r.svc.Name, c.count)
-	slices.SortFunc(keys, func(a, b pollenlatch.Owner) int { return compareShards(a.Shard, b.Shard) })
 	room := r.p.cfg.Handovers - r.in.Busy[c.id]
 	for _, k := range keys {
 		rate := e.byKey[k.Key]
-		if rate >= coolShare*r.p.cfg.Hot*r.mean {
+		if k.Frozen() || room <= 0 || rate >= coolShare*r.p.cfg.Hot*r.mean {
 			continue
 		}
 		home, ok := r.in.View.OwnerAt(pollenlatch.Shard{Service: k.Service, Range: k.Range})
-		if !ok || home.Frozen() {
+		if !ok || home.Frozen() || !r.usableID(home.Instance) {
 			continue
 		}
-		if home.Instance == c.id {
-			r.moves = append(r.moves, pollenlatch.Move{Shard: k.Shard, From: c.id, Fence: k.Fence, Reason: reasonMerged})
-			continue
-		}
-		if t, ok := r.byID[home.Instance]; ok && room > 0 {
-			r.hand(orphan{Owner: k, rate: rate}, t, reasonCool, 0)
-			room--
-		}
+		room--
+		r.moves = append(r.moves, pollenlatch.Move{
+			Shard: k.Shard, From: c.id, Fence: k.Fence, Reason: reasonCool, Cost: r.handCost(rate),
+		})
 	}
 }
--- a/plan/lost.go
+++ b/plan/lost.go
@@ -14,7 +14,7 @@
 	reasonLost    = "owner lost"
 	reasonBack    = "owner is back"
 	reasonLeaving = "owner is leaving"
-	reasonRetry   = "target of the hand-over is not usable"
+	reasonCancel  = "target of the hand-over is not usable"
 )
 
 // orphan is a shard that needs an owner, with its estimated rate.
@@ -43,11 +43,7 @@
 	if len(r.usable) == 0 {
 		return
 	}
-	var lost []orphan
-	r.in.View.Owned(0, r.svc.Name, func(o pollenlatch.Owner) bool {
-		lost = append(lost, orphan{Owner: o})
-		return true
-	})
+	lost := r.book.index.owned(r.in.View, r.svc.Name, 0)
 	if len(lost) == 0 {
 		r.book.waved = false
 		return
@@ -184,48 +180,44 @@
 }
 
 func (r *round) drainOne(id pollenlatch.InstanceID) {
-	var shards []orphan
-	n := 0
-	r.in.View.Owned(id, r.svc.Name, func(o pollenlatch.Owner) bool {
-		n++
-		shards = append(shards, orphan{Owner: o})
-		return true
-	})
-	if n == 0 {
+	shards := r.book.index.owned(r.in.View, r.svc.Name, id)
+	if len(shards) == 0 {
 		return
 	}
 	t := r.p.tracks[id]
 	if t == nil {
 		t = &track{}
 	}
-	e := t.shards(r.svc.Name, n)
+	e := t.shards(r.svc.Name, len(shards))
 	for i := range shards {
 		shards[i].rate = e.of(shards[i].Shard)
 	}
 	slices.SortFunc(shards, byRate)
 	room := r.p.cfg.Drains - r.in.Busy[id]
 	for _, o := range shards {
-		retry := o.Frozen() && !r.usableID(o.Next)
-		if o.Frozen() && !retry {
+		switch {
+		case o.Frozen() && !r.usableID(o.Next) && o.Key == "":
+			r.cancel(o)
 			continue
-		}
-		if !retry && room <= 0 {
+		case o.Frozen() || room <= 0:
 			continue
 		}
 		c := r.target(r.dcOf(id))
 		if c == nil {
 			return
 		}
-		reason := reasonLeaving
-		if retry {
-			reason = reasonRetry
-		} else {
-			room--
-		}
-		r.hand(o, c, reason, r.w.Unavailable*r.share(o.rate))
+		room--
+		r.hand(o, c, reasonLeaving, r.w.Unavailable*r.share(o.rate))
 	}
 }
 
+// cancel ends a hand-over whose target can't take the shard any more.
+func (r *round) cancel(o orphan) {
+	r.moves = append(r.moves, pollenlatch.Move{
+		Shard: o.Shard, From: o.Instance, To: o.Instance, Fence: o.Fence, Reason: reasonCancel,
+	})
+}
+
 func (r *round) usableID(id pollenlatch.InstanceID) bool {
 	_, ok := r.byID[id]
 	return ok
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -13,19 +13,6 @@
 	"pollenlatch"
 )
 
-// Counter is implemented by a View that knows how many shards of a service an
-// instance owns without listing them. Instance 0 stands for shards without
-// owner. A View without it is counted by listing.
-type Counter interface {
-	OwnedCount(id pollenlatch.InstanceID, service string) int
-}
-
-// Keyed is implemented by a View that lists the hot keys with a record of their
-// own without listing all shards.
-type Keyed interface {
-	Keys(service string, f func(pollenlatch.Owner) bool)
-}
-
 // Planner plans moves. The zero value is ready to use. It is deterministic for
 // the same sequence of inputs and must not be used concurrently.
 type Planner struct {
@@ -42,8 +29,10 @@
 func New(s Settings) *Planner { return &Planner{Settings: s} }
 
 // Plan returns the moves that should start now. Moves with From 0 are
-// assignments; the others are hand-overs. A move with To 0 removes the record
-// of a hot key whose range has the same owner.
+// assignments. The others are hand-overs: a move with To 0 gives a hot key back
+// to the owner of its range and removes its record, one with To equal to From
+// cancels a hand-over. A move of a hot key without a record carries the fence
+// of its range, which is frozen for it.
 func (p *Planner) Plan(in pollenlatch.Placement) []pollenlatch.Move {
 	p.cfg = p.Settings.withDefaults()
 	if p.tracks == nil {
@@ -70,8 +59,8 @@
 	if b == nil {
 		b = &book{tokens: p.cfg.Budget, tokensAt: in.Now}
 		p.books[s.Name] = b
-		b.learn(in.View, s)
 	}
+	b.index.follow(in.View, s)
 	r := p.newRound(in, s, b)
 	r.assignLost()
 	r.drain()
@@ -81,7 +70,8 @@
 
 // book is what the planner remembers of one service.
 type book struct {
-	owners   []pollenlatch.InstanceID // instances that may own shards without being endpoints of it
+	index    index
+	known    []pollenlatch.InstanceID // endpoints at the last plan
 	tokens   float64                  // share of load that balancing may move now
 	tokensAt pollenlatch.Mono
 	nextAt   pollenlatch.Mono // of balancing
@@ -91,52 +81,8 @@
 	active   bool // balancing has started and not reached its end
 }
 
-// learn finds the owners at the first plan, among them instances whose
-// endpoint has gone to another service.
-func (b *book) learn(v pollenlatch.View, s pollenlatch.Service) {
-	seen := make(map[pollenlatch.InstanceID]bool)
-	for i := range s.Ranges() {
-		o, ok := v.OwnerAt(pollenlatch.Shard{Service: s.Name, Range: pollenlatch.Range(i)})
-		if ok && o.Instance != 0 && !seen[o.Instance] {
-			seen[o.Instance] = true
-			b.owners = append(b.owners, o.Instance)
-		}
-	}
-	slices.Sort(b.owners)
-}
-
 // refill adds the budget of the time that has passed, up to one minute's.
 func (b *book) refill(now pollenlatch.Mono, perMinute float64) {
 	b.tokens = min(perMinute, b.tokens+perMinute*now.Sub(b.tokensAt).Minutes())
 	b.tokensAt = now
 }
-
-// countOwned returns the number of shards that an instance owns.
-func countOwned(v pollenlatch.View, id pollenlatch.InstanceID, service string) int {
-	if c, ok := v.(Counter); ok {
-		return c.OwnedCount(id, service)
-	}
-	n := 0
-	v.Owned(id, service, func(pollenlatch.Owner) bool {
-		n++
-		return true
-	})
-	return n
-}
-
-// eachKey calls f for every hot key of a service that has a record of its own.
-func (r *round) eachKey(f func(pollenlatch.Owner)) {
-	call := func(o pollenlatch.Owner) bool {
-		if o.Key != "" {
-			f(o)
-		}
-		return true
-	}
-	if k, ok := r.in.View.(Keyed); ok {
-		k.Keys(r.svc.Name, call)
-		return
-	}
-	for _, c := range r.usable {
-		r.in.View.Owned(c.id, r.svc.Name, call)
-	}
-}
--- a/plan/round.go
+++ b/plan/round.go
@@ -28,13 +28,12 @@
 	book    *book
 	usable  []*candidate // by ID
 	byID    map[pollenlatch.InstanceID]*candidate
-	leaving []pollenlatch.InstanceID // alive or not, may own shards, not usable
+	leaving []pollenlatch.InstanceID // alive, may own shards, not usable
 	homes   map[string]*minHeap      // by data centre
 	dcs     []string
 	rate    float64 // of the whole service
 	mean    float64 // rate of the mean usable endpoint
 	shards  float64 // mean number of shards of a usable endpoint
-	records int     // hot keys with a record of their own
 	moves   []pollenlatch.Move
 }
 
@@ -43,15 +42,15 @@
 		p: p, in: in, svc: s, w: weights(s), book: b,
 		byID: make(map[pollenlatch.InstanceID]*candidate),
 	}
-	var known []pollenlatch.InstanceID
+	known := make([]pollenlatch.InstanceID, 0, len(b.known))
+	listed := make(map[pollenlatch.InstanceID]bool, len(b.known))
 	for _, i := range in.View.Endpoints(s.Name) {
 		known = append(known, i.ID)
+		listed[i.ID] = true
 		r.endpoint(i)
 	}
-	r.strangers(known)
-	r.book.owners = append(known, r.leaving...)
-	slices.Sort(r.book.owners)
-	r.book.owners = slices.Compact(r.book.owners)
+	r.gone(listed)
+	b.known = known
 	r.measure()
 	return r
 }
@@ -71,7 +70,8 @@
 		r.leaving = append(r.leaving, i.ID)
 		return
 	}
-	c := &candidate{id: i.ID, dc: i.DC, track: t, count: countOwned(r.in.View, i.ID, r.svc.Name), rate: t.rate(r.in.Now)}
+	c := &candidate{id: i.ID, dc: i.DC, track: t, rate: t.rate(r.in.Now)}
+	c.count = r.book.index.count(i.ID) + r.book.index.inbound[i.ID]
 	if l := t.load; l.Median > 0 && i.Endpoint.Slots > 0 {
 		c.limit = safeUse * float64(i.Endpoint.Slots) / l.Median.Seconds()
 	}
@@ -79,19 +79,24 @@
 	r.byID[c.id] = c
 }
 
-// strangers adds instances that own shards but are no endpoints of the service
-// any more.
-func (r *round) strangers(known []pollenlatch.InstanceID) {
-	for _, id := range r.book.owners {
-		if slices.Contains(known, id) {
-			continue
+// gone notes endpoints that are not listed any more, and adds the living
+// instances that own shards without being an endpoint of the service.
+func (r *round) gone(listed map[pollenlatch.InstanceID]bool) {
+	for _, id := range r.book.known {
+		if t := r.p.tracks[id]; t != nil && !listed[id] {
+			if i, ok := r.in.View.Instance(id); ok {
+				t.observe(i, r.in.Now)
+			} else {
+				delete(r.p.tracks, id)
+			}
 		}
-		if countOwned(r.in.View, id, r.svc.Name) > 0 {
+	}
+	for _, id := range r.book.index.owners() {
+		if !listed[id] {
 			r.leaving = append(r.leaving, id)
 		}
 	}
 	slices.Sort(r.leaving)
-	r.leaving = slices.Compact(r.leaving)
 }
 
 // allowed reports whether the service may run in a data centre.
@@ -109,7 +114,7 @@
 		r.rate += c.rate
 	}
 	for _, id := range r.leaving {
-		if t := r.p.tracks[id]; t != nil && countOwned(r.in.View, id, r.svc.Name) > 0 {
+		if t := r.p.tracks[id]; t != nil && r.book.index.count(id) > 0 {
 			r.rate += t.load.Rate
 		}
 	}
