--- /dev/null
+++ b/codec.go
@@ -0,0 +1,331 @@
+package pollenlatch
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// The codec reads and writes protobuf messages by the struct tags of domain
+// types, with the primitives of package protowire. Fields of embedded structs
+// without a tag belong to the embedding message. Fields with their zero value
+// are left out; a nil pointer is left out, any other is written.
+
+// maxDepth bounds the nesting of messages, so that a crafted message cannot
+// exhaust the stack.
+const maxDepth = 16
+
+// Errors of messages that cannot be decoded.
+var (
+	errWireType = errors.New("wire type does not match the field")
+	errNoStruct = errors.New("not a pointer to a struct")
+	errDepth    = fmt.Errorf("messages are nested deeper than %d", maxDepth)
+)
+
+// message is the plan for one struct type.
+type message struct {
+	fields   []*field
+	byNumber map[protowire.Number]*field
+}
+
+// field is the plan for one field.
+type field struct {
+	number protowire.Number
+	index  []int
+	tag    []byte // encoded number and wire type
+	fixed  bool   // 8 bytes instead of a varint
+	codec  kind
+	list   bool
+	elem   reflect.Type // message type, of elements too
+}
+
+type kind uint8
+
+const (
+	kindBool kind = iota
+	kindInt
+	kindUint
+	kindFloat
+	kindString
+	kindBytes
+	kindMessage
+	kindPointer
+)
+
+var messages sync.Map // reflect.Type -> *message
+
+func messageOf(t reflect.Type) *message {
+	if m, ok := messages.Load(t); ok {
+		return m.(*message)
+	}
+	m := &message{byNumber: make(map[protowire.Number]*field)}
+	m.collect(t, nil)
+	for _, f := range m.fields {
+		m.byNumber[f.number] = f
+	}
+	actual, _ := messages.LoadOrStore(t, m)
+	return actual.(*message)
+}
+
+func (m *message) collect(t reflect.Type, path []int) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		index := append(append([]int(nil), path...), i)
+		tag, tagged := f.Tag.Lookup("protobuf")
+		switch {
+		case tagged:
+			m.fields = append(m.fields, newField(t, f, tag, index))
+		case f.Anonymous && f.Type.Kind() == reflect.Struct:
+			m.collect(f.Type, index)
+		}
+	}
+}
+
+// newField panics on a tag that does not fit its field: a fault of the
+// program, found by the first use of the type.
+func newField(t reflect.Type, f reflect.StructField, tag string, index []int) *field {
+	parts := strings.Split(tag, ",")
+	n, err := strconv.Atoi(parts[min(1, len(parts)-1)])
+	if err != nil || n <= 0 {
+		panic(fmt.Sprintf("%s.%s: protobuf tag %q has no number", t, f.Name, tag))
+	}
+	out := &field{number: protowire.Number(n), index: index, fixed: parts[0] == "fixed64"}
+	ft := f.Type
+	if ft.Kind() == reflect.Slice && ft.Elem().Kind() != reflect.Uint8 {
+		out.list = true
+		ft = ft.Elem()
+	}
+	wire := protowire.VarintType
+	switch ft.Kind() {
+	case reflect.Bool:
+		out.codec = kindBool
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		out.codec = kindInt
+	case reflect.Uint, reflect.Uint32, reflect.Uint64:
+		out.codec = kindUint
+	case reflect.Float64:
+		out.codec, out.fixed = kindFloat, true
+	case reflect.String:
+		out.codec, wire = kindString, protowire.BytesType
+	case reflect.Slice:
+		out.codec, wire = kindBytes, protowire.BytesType
+	case reflect.Struct:
+		out.codec, wire, out.elem = kindMessage, protowire.BytesType, ft
+	case reflect.Pointer:
+		out.codec, wire, out.elem = kindPointer, protowire.BytesType, ft.Elem()
+	default:
+		panic(fmt.Sprintf("%s.%s: type %s has no protobuf encoding", t, f.Name, f.Type))
+	}
+	if out.fixed {
+		wire = protowire.Fixed64Type
+	}
+	out.tag = protowire.AppendTag(nil, out.number, wire)
+	return out
+}
+
+func (m *message) append(b []byte, v reflect.Value) []byte {
+	for _, f := range m.fields {
+		fv := at(v, f.index)
+		if !f.list {
+			b = f.append(b, fv, false)
+			continue
+		}
+		for i := range fv.Len() {
+			b = f.append(b, fv.Index(i), true)
+		}
+	}
+	return b
+}
+
+func at(v reflect.Value, index []int) reflect.Value {
+	for _, i := range index {
+		v = v.Field(i)
+	}
+	return v
+}
+
+// append writes one value. Elements of lists are written also when they are zero.
+func (f *field) append(b []byte, v reflect.Value, element bool) []byte {
+	switch f.codec {
+	case kindBool:
+		if !v.Bool() && !element {
+			return b
+		}
+		return protowire.AppendVarint(append(b, f.tag...), protowire.EncodeBool(v.Bool()))
+	case kindInt:
+		return f.appendNumber(b, uint64(v.Int()), element)
+	case kindUint:
+		return f.appendNumber(b, v.Uint(), element)
+	case kindFloat:
+		return f.appendNumber(b, math.Float64bits(v.Float()), element)
+	case kindString:
+		if v.Len() == 0 && !element {
+			return b
+		}
+		return protowire.AppendString(append(b, f.tag...), v.String())
+	case kindBytes:
+		if v.Len() == 0 && !element {
+			return b
+		}
+		return protowire.AppendBytes(append(b, f.tag...), v.Bytes())
+	case kindMessage:
+		return f.appendMessage(b, v, element)
+	default:
+		if v.IsNil() {
+			return b
+		}
+		return f.appendMessage(b, v.Elem(), true)
+	}
+}
+
+func (f *field) appendNumber(b []byte, n uint64, element bool) []byte {
+	switch {
+	case n == 0 && !element:
+		return b
+	case f.fixed:
+		return protowire.AppendFixed64(append(b, f.tag...), n)
+	default:
+		return protowire.AppendVarint(append(b, f.tag...), n)
+	}
+}
+
+// appendMessage writes the message after one byte for its length, and makes
+// room when the length needs more.
+func (f *field) appendMessage(b []byte, v reflect.Value, always bool) []byte {
+	start := len(b)
+	b = append(b, f.tag...)
+	at := len(b)
+	b = messageOf(f.elem).append(append(b, 0), v)
+	n := len(b) - at - 1
+	if n == 0 && !always {
+		return b[:start]
+	}
+	if n < 0x80 {
+		b[at] = byte(n)
+		return b
+	}
+	size := protowire.SizeVarint(uint64(n))
+	b = append(b, make([]byte, size-1)...)
+	copy(b[at+size:], b[at+1:at+1+n])
+	protowire.AppendVarint(b[:at], uint64(n))
+	return b
+}
+
+func (m *message) decode(b []byte, v reflect.Value, depth int) error {
+	if depth > maxDepth {
+		return errDepth
+	}
+	for len(b) > 0 {
+		number, wire, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return protowire.ParseError(n)
+		}
+		b = b[n:]
+		f, ok := m.byNumber[number]
+		if !ok {
+			if n = protowire.ConsumeFieldValue(number, wire, b); n < 0 {
+				return protowire.ParseError(n)
+			}
+			b = b[n:]
+			continue
+		}
+		n, err := f.decode(b, wire, at(v, f.index), depth)
+		if err != nil {
+			return fmt.Errorf("field %d: %w", number, err)
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+func (f *field) decode(b []byte, wire protowire.Type, v reflect.Value, depth int) (int, error) {
+	if f.list {
+		n := v.Len()
+		if n == v.Cap() {
+			v.Grow(max(4, n))
+		}
+		v.SetLen(n + 1)
+		v = v.Index(n)
+		v.SetZero()
+	}
+	switch {
+	case f.codec >= kindString:
+		return f.decodeBytes(b, wire, v, depth)
+	case f.fixed:
+		return f.decodeFixed(b, wire, v)
+	default:
+		return f.decodeVarint(b, wire, v)
+	}
+}
+
+func (f *field) decodeVarint(b []byte, wire protowire.Type, v reflect.Value) (int, error) {
+	if wire != protowire.VarintType {
+		return 0, errWireType
+	}
+	x, n := protowire.ConsumeVarint(b)
+	if n < 0 {
+		return 0, protowire.ParseError(n)
+	}
+	return n, f.setNumber(v, x)
+}
+
+func (f *field) decodeFixed(b []byte, wire protowire.Type, v reflect.Value) (int, error) {
+	if wire != protowire.Fixed64Type {
+		return 0, errWireType
+	}
+	x, n := protowire.ConsumeFixed64(b)
+	if n < 0 {
+		return 0, protowire.ParseError(n)
+	}
+	return n, f.setNumber(v, x)
+}
+
+func (f *field) setNumber(v reflect.Value, x uint64) error {
+	switch f.codec {
+	case kindBool:
+		v.SetBool(x != 0)
+	case kindFloat:
+		v.SetFloat(math.Float64frombits(x))
+	case kindUint:
+		if v.OverflowUint(x) {
+			return fmt.Errorf("value %d does not fit %s", x, v.Type())
+		}
+		v.SetUint(x)
+	default:
+		if v.OverflowInt(int64(x)) {
+			return fmt.Errorf("value %d does not fit %s", int64(x), v.Type())
+		}
+		v.SetInt(int64(x))
+	}
+	return nil
+}
+
+func (f *field) decodeBytes(b []byte, wire protowire.Type, v reflect.Value, depth int) (int, error) {
+	if wire != protowire.BytesType {
+		return 0, errWireType
+	}
+	x, n := protowire.ConsumeBytes(b)
+	if n < 0 {
+		return 0, protowire.ParseError(n)
+	}
+	switch f.codec {
+	case kindString:
+		v.SetString(string(x))
+	case kindBytes:
+		v.SetBytes(append([]byte(nil), x...))
+	case kindMessage:
+		return n, messageOf(f.elem).decode(x, v, depth+1)
+	default:
+		if v.IsNil() {
+			v.Set(reflect.New(f.elem))
+		}
+		return n, messageOf(f.elem).decode(x, v.Elem(), depth+1)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/ctrl/access.go
@@ -0,0 +1,153 @@
+package ctrl
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"pollenlatch"
+	"pollenlatch/lease"
+	"pollenlatch/state"
+)
+
+// retryAfter is the seconds after which a caller may try a daemon again that
+// could not serve it.
+const retryAfter = 1
+
+// Desk is what traffic sees of the control state: the newest Access, and the
+// count of requests in flight. The zero value serves nothing. Counting comes
+// before reading the view, and publishing a frozen shard comes before reading
+// the count, so either the request is refused or the hand-over waits for it.
+type Desk struct {
+	Clock pollenlatch.Clock // nil is the system's
+
+	access  atomic.Pointer[Access]
+	counter lease.Counter
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+var emptyAccess = &Access{View: &state.State{}}
+
+// Access returns the newest published access.
+func (d *Desk) Access() *Access {
+	if a := d.access.Load(); a != nil {
+		return a
+	}
+	return emptyAccess
+}
+
+// Publish replaces the access and wakes those who wait for a change.
+func (d *Desk) Publish(a Access) {
+	d.access.Store(&a)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.changed != nil {
+		close(d.changed)
+		d.changed = nil
+	}
+}
+
+// Self returns this instance's number, or 0 before it has joined.
+func (d *Desk) Self() pollenlatch.InstanceID { return d.Access().Self }
+
+// View returns the newest state.
+func (d *Desk) View() pollenlatch.View { return d.Access().View }
+
+// Changed returns a channel that is closed at the next Publish.
+func (d *Desk) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	return d.changed
+}
+
+// Serving returns nil while the lease lasts.
+func (d *Desk) Serving() error {
+	return d.serving(d.Access())
+}
+
+func (d *Desk) serving(a *Access) error {
+	if d.now() >= a.Until {
+		return &pollenlatch.Failure{
+			Outcome: pollenlatch.NotRun, Reason: pollenlatch.NoLease, Status: 503, After: retryAfter,
+			Detail: "this instance holds no lease now",
+		}
+	}
+	return nil
+}
+
+func (d *Desk) now() pollenlatch.Mono {
+	if d.Clock == nil {
+		return pollenlatch.System{}.Now()
+	}
+	return d.Clock.Now()
+}
+
+// Enter counts a request in flight.
+func (d *Desk) Enter(s pollenlatch.Shard, f pollenlatch.Fence) (pollenlatch.Pass, error) {
+	p := &pass{desk: d, key: lease.Key{Shard: s, Fence: f}}
+	d.counter.Add(p.key)
+	if err := p.admissible(); err != nil {
+		p.Exit()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Await calls f once nothing of the shard is in flight.
+func (d *Desk) Await(k lease.Key, f func()) { d.counter.Empty(k, f) }
+
+// InFlight returns the number of requests in flight.
+func (d *Desk) InFlight() int { return d.counter.Total() }
+
+// pass is the permission to run one request.
+type pass struct {
+	desk *Desk
+	key  lease.Key
+	once sync.Once
+}
+
+func (p *pass) admissible() error {
+	a := p.desk.Access()
+	if a.Closed {
+		return &pollenlatch.Failure{
+			Outcome: pollenlatch.NotRun, Reason: pollenlatch.Draining, Status: 503, After: retryAfter,
+			Detail: "this instance is leaving",
+		}
+	}
+	return p.check(a, true)
+}
+
+// Check returns nil while the lease lasts and the shard is owned with the fence.
+func (p *pass) Check() error { return p.check(p.desk.Access(), false) }
+
+func (p *pass) check(a *Access, entering bool) error {
+	if err := p.desk.serving(a); err != nil {
+		return err
+	}
+	if p.key.Service == "" {
+		return nil
+	}
+	o, ok := a.View.OwnerAt(p.key.Shard)
+	switch {
+	case !ok || o.Instance != a.Self || o.Fence != p.key.Fence:
+		return &pollenlatch.Failure{
+			Outcome: pollenlatch.NotRun, Reason: pollenlatch.WrongOwner, Status: 503, After: retryAfter,
+			Detail: "this instance does not own the key",
+		}
+	case entering && o.Frozen() && o.Next != a.Self:
+		return &pollenlatch.Failure{
+			Outcome: pollenlatch.NotRun, Reason: pollenlatch.NoOwner, Status: 503, After: retryAfter,
+			Detail: "the key is moving to another owner",
+		}
+	}
+	return nil
+}
+
+// Exit ends the request.
+func (p *pass) Exit() {
+	p.once.Do(func() { p.desk.counter.Done(p.key) })
+}
--- /dev/null
+++ b/ctrl/event.go
@@ -0,0 +1,199 @@
+// Package ctrl holds the control state of one process. Reducer is pure: events
+// go in, effects come out. It combines the replicated log (in a voter), the
+// granting of leases and the planner (in the leader), and this daemon's own
+// lease, copy of the state and hand-overs (in every process). Loop is the one
+// goroutine that owns a Reducer and carries out its effects.
+package ctrl
+
+import (
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/lease"
+	"pollenlatch/quorum"
+)
+
+// Event is one of the types below.
+type Event interface{ event() }
+
+type (
+	// Boot is the first event. Log is nil in a process that is not a voter.
+	Boot struct {
+		Now pollenlatch.Mono
+		Log *quorum.Start
+	}
+	// Tick tells the time. It comes every TickInterval or so.
+	Tick struct{ Now pollenlatch.Mono }
+	// Received is a control message. From is the sender's instance name,
+	// proved when the session was opened.
+	Received struct {
+		Now     pollenlatch.Mono
+		From    string
+		Message *pollenlatch.Message
+	}
+	// Synced answers a Persist.
+	Synced struct {
+		Now pollenlatch.Mono
+		Seq uint64
+		Err error
+	}
+	// Announced is what the server beside this daemon says of itself, or what
+	// the daemon has seen of it.
+	Announced struct {
+		Now      pollenlatch.Mono
+		Endpoint pollenlatch.Endpoint
+	}
+	// Measured is the newest load of the server beside this daemon.
+	Measured struct {
+		Now  pollenlatch.Mono
+		Load pollenlatch.Load
+	}
+	// Emptied answers an Await: nothing of the shard is in flight any more.
+	Emptied struct {
+		Now pollenlatch.Mono
+		Key lease.Key
+	}
+	// HandedOver answers a HandOver. OK is false when the next owner does not
+	// have the idempotency records.
+	HandedOver struct {
+		Now pollenlatch.Mono
+		Key lease.Key
+		OK  bool
+	}
+	// Submitted is a ticket from an operator. Decide answers it.
+	Submitted struct {
+		Now    pollenlatch.Mono
+		ID     uint64
+		Ticket pollenlatch.Ticket
+	}
+	// Withdrawn says that nobody waits for the verdict any more.
+	Withdrawn struct {
+		Now pollenlatch.Mono
+		ID  uint64
+	}
+	// Draining starts a graceful shutdown. Drained answers it.
+	Draining struct{ Now pollenlatch.Mono }
+	// Leaving ends the lease. Left answers it.
+	Leaving struct{ Now pollenlatch.Mono }
+)
+
+func (Boot) event()       {}
+func (Tick) event()       {}
+func (Received) event()   {}
+func (Synced) event()     {}
+func (Announced) event()  {}
+func (Measured) event()   {}
+func (Emptied) event()    {}
+func (HandedOver) event() {}
+func (Submitted) event()  {}
+func (Withdrawn) event()  {}
+func (Draining) event()   {}
+func (Leaving) event()    {}
+
+// Effect is one of the types below.
+type Effect interface{ effect() }
+
+type (
+	// Send sends a message to the process at an address. It may be lost.
+	Send struct {
+		Addr    string
+		Message *pollenlatch.Message
+	}
+	// Reply sends a message to an instance on the session that it opened.
+	Reply struct {
+		To      string
+		Message *pollenlatch.Message
+	}
+	// Persist writes to the data folder and is answered with Synced. Persists
+	// are carried out in order.
+	Persist struct{ quorum.Persist }
+	// Publish gives traffic a new view or lease.
+	Publish struct{ Access Access }
+	// Grant gives the server beside this daemon its grants, until Until.
+	Grant struct {
+		Grants []pollenlatch.Grant
+		Until  pollenlatch.Mono
+	}
+	// Extend lets the server's present grants last until Until.
+	Extend struct{ Until pollenlatch.Mono }
+	// Await asks for Emptied.
+	Await struct{ Key lease.Key }
+	// HandOver asks to send the idempotency records of a shard to its next
+	// owner. It is answered with HandedOver.
+	HandOver struct {
+		Key lease.Key
+		To  pollenlatch.Instance
+	}
+	// Decide answers Submitted.
+	Decide struct {
+		ID      uint64
+		Verdict pollenlatch.Verdict
+	}
+	// Drained says that this instance owns nothing any more, or that the drain
+	// time is over.
+	Drained struct{}
+	// Left says that the lease has ended.
+	Left struct{}
+	// Halt says that this process can no longer take part as a voter.
+	Halt struct{ Err error }
+	// Log is a line for the operator.
+	Log struct {
+		Message string
+		Pairs   []any // alternating keys and values
+	}
+)
+
+func (Send) effect()     {}
+func (Reply) effect()    {}
+func (Persist) effect()  {}
+func (Publish) effect()  {}
+func (Grant) effect()    {}
+func (Extend) effect()   {}
+func (Await) effect()    {}
+func (HandOver) effect() {}
+func (Decide) effect()   {}
+func (Drained) effect()  {}
+func (Left) effect()     {}
+func (Halt) effect()     {}
+func (Log) effect()      {}
+
+// Access is what traffic may do, as of one moment.
+type Access struct {
+	View     pollenlatch.View
+	Self     pollenlatch.InstanceID // 0 before the first lease
+	Until    pollenlatch.Mono       // end of the usable lease; 0 when there is none
+	Closed   bool                   // no new work: this instance is leaving
+	Force    pollenlatch.Version    // every daemon that may serve holds at least this version
+	Leader   string                 // name of the leader, empty when unknown
+	Leads    bool                   // this process leads
+	Voter    bool
+	Commit   uint64
+	Term     uint64
+	Restarts uint64 // leases that this process has had
+}
+
+// Timing holds the times of the control protocol.
+type Timing struct {
+	Lease     time.Duration // length of a lease
+	Renew     time.Duration // interval of renewals
+	Heartbeat time.Duration // interval of the leader's heartbeats to voters
+	Election  time.Duration // shortest election timeout
+	Grace     time.Duration // how long a daemon may lag behind a ticket
+	Drain     time.Duration // longest wait for hand-overs in a graceful shutdown
+}
+
+// TickInterval is the interval of Tick events.
+const TickInterval = 10 * time.Millisecond
+
+// DefaultTiming returns the default times. A lost instance's shards are owned
+// again within 1 s with them, also when the leader is lost at the same moment.
+func DefaultTiming() Timing {
+	return Timing{
+		Lease:     600 * time.Millisecond,
+		Renew:     100 * time.Millisecond,
+		Heartbeat: 40 * time.Millisecond,
+		Election:  120 * time.Millisecond,
+		Grace:     2 * time.Second,
+		Drain:     10 * time.Second,
+	}
+}
--- /dev/null
+++ b/ctrl/holder.go
@@ -0,0 +1,461 @@
+package ctrl
+
+import (
+	"slices"
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/lease"
+	"pollenlatch/state"
+)
+
+// rotateAfter is the number of renewals without an answer after which the next
+// voter is asked: one lost message must not cost a change of target.
+const rotateAfter = 2
+
+// submitRetry is the interval at which an undecided ticket is sent again.
+const submitRetry = 200 * time.Millisecond
+
+// redirectPause bounds how often a hint to the leader is followed at once, since
+// two voters with old news may name each other.
+const redirectPause = 20 * time.Millisecond
+
+// holder is the part of a reducer that every process has: its own lease, its
+// copy of the state, and the hand-overs of its shards.
+type holder struct {
+	*Reducer
+	held     lease.Holder
+	joined   pollenlatch.Lease // lease under which this process may act; 0 is none
+	restarts uint64
+	target   int    // index of the voter to ask when no leader is known
+	leader   string // address of the leader as last heard
+	silent   int    // renewals without answer
+	lastSent pollenlatch.Mono
+	turnedAt pollenlatch.Mono // when a hint to the leader was last followed at once
+	started  bool
+	force    pollenlatch.Version
+
+	facts  *pollenlatch.Endpoint
+	load   *pollenlatch.Load
+	loadAt pollenlatch.Mono
+
+	parts    []byte // snapshot being received
+	partsOf  pollenlatch.Version
+	moves    map[lease.Key]*move
+	grants   []pollenlatch.Grant
+	tickets  map[uint64]*submitted
+	draining bool
+	drainEnd pollenlatch.Mono
+	closed   bool
+	drained  bool
+	leaving  bool
+	left     bool
+
+	dirty     bool // state or lease changed since the last Publish
+	published pollenlatch.Mono
+}
+
+// move is the hand-over of one of this instance's shards.
+type move struct {
+	empty     bool // nothing in flight
+	released  bool // the next owner has the records, or cannot get them
+	noRecords bool
+}
+
+type submitted struct {
+	ticket pollenlatch.Ticket
+	sentAt pollenlatch.Mono
+}
+
+func (h *holder) tickHolder() {
+	if !h.started || h.now.Sub(h.lastSent) >= h.cfg.Timing.Renew {
+		h.renew()
+	}
+	h.resubmit()
+	if h.draining {
+		h.checkDrain()
+	}
+}
+
+// renew asks for the lease, or for its extension.
+func (h *holder) renew() {
+	if h.left || len(h.cfg.Voters) == 0 {
+		return
+	}
+	h.started = true
+	h.lastSent = h.now
+	if h.silent >= rotateAfter {
+		h.rotate()
+	}
+	h.silent++
+	m := &pollenlatch.Renew{
+		Seq:         h.held.Send(h.now),
+		Lease:       h.joined,
+		Held:        h.state.Version(),
+		Incarnation: h.cfg.Self.Incarnation,
+		Name:        h.cfg.Self.Name,
+		Leave:       h.leaving,
+	}
+	if h.joined == 0 {
+		join := h.cfg.Self
+		m.Join = &join
+	}
+	if h.joined != 0 && h.facts != nil && !h.factsKnown() {
+		facts := h.currentFacts()
+		m.Facts = &facts
+	}
+	if h.load != nil && h.now.Sub(h.loadAt) >= time.Second {
+		m.Load, h.loadAt = h.load, h.now
+	}
+	h.send(h.ask(), &pollenlatch.Message{Renew: m})
+	h.sendReleases()
+}
+
+// ask returns the address of the process to send requests to.
+func (h *holder) ask() string {
+	if h.leader != "" {
+		return h.leader
+	}
+	return h.cfg.Voters[h.target%len(h.cfg.Voters)].Addr
+}
+
+func (h *holder) rotate() {
+	h.leader = ""
+	h.target++
+	h.silent = 0
+}
+
+// currentFacts returns the endpoint as this daemon wants it recorded.
+func (h *holder) currentFacts() pollenlatch.Endpoint {
+	f := *h.facts
+	f.Draining = f.Draining || h.draining
+	return f
+}
+
+func (h *holder) factsKnown() bool {
+	me, ok := h.state.Lookup(h.cfg.Self.Name)
+	return ok && me.Endpoint != nil && *me.Endpoint == h.currentFacts()
+}
+
+func (h *holder) renewed(from string, m *pollenlatch.Renewed) {
+	h.silent = 0
+	switch m.Refused {
+	case pollenlatch.NotLeader:
+		h.redirect(m.Leader)
+	case pollenlatch.Ended:
+		if m.Lease == h.joined {
+			h.dropLease("the leader has ended the lease")
+		}
+	case pollenlatch.Pending, pollenlatch.Behind:
+		h.leader = h.addrOf(from)
+	case pollenlatch.Extended:
+		h.leader = h.addrOf(from)
+		h.extended(m)
+	}
+}
+
+// redirect follows a hint to the leader. Without one the next voter is asked,
+// at the next renewal, so that voters without a leader are not asked in a loop.
+func (h *holder) redirect(leader string) {
+	if leader == "" || leader == h.leader {
+		h.rotate()
+		return
+	}
+	h.leader = leader
+	if h.now.Sub(h.turnedAt) >= redirectPause {
+		h.turnedAt = h.now
+		h.renew()
+	}
+}
+
+func (h *holder) addrOf(name string) string {
+	for _, v := range h.cfg.Voters {
+		if v.Name == name {
+			return v.Addr
+		}
+	}
+	if i, ok := h.state.Lookup(name); ok {
+		return i.Addr
+	}
+	return h.leader
+}
+
+func (h *holder) extended(m *pollenlatch.Renewed) {
+	if !h.held.Grant(m.Seq, m.Lease, m.TTL) {
+		return
+	}
+	h.force = max(h.force, m.Force)
+	h.dirty = true
+	h.activate()
+	if _, end := h.held.Lease(); h.joined != 0 {
+		h.do(Extend{Until: end})
+	}
+}
+
+// activate lets this process act under the lease that it was given, once the
+// state that it holds shows the lease: every loss of its shards before it is
+// in that state too.
+func (h *holder) activate() {
+	l, _ := h.held.Lease()
+	me, ok := h.state.Lookup(h.cfg.Self.Name)
+	if l == 0 || l == h.joined || !ok || me.Lease != l || me.Incarnation != h.cfg.Self.Incarnation {
+		return
+	}
+	h.joined = l
+	h.restarts++
+	h.dirty = true
+	h.logf("lease started", "lease", l, "version", h.state.Version())
+}
+
+func (h *holder) dropLease(reason string) {
+	if h.joined == 0 {
+		return
+	}
+	h.logf("lease ended", "lease", h.joined, "reason", reason)
+	h.joined = 0
+	h.held.Drop()
+	h.moves = nil
+	h.dirty = true
+	if h.leaving && !h.left {
+		h.left = true
+		h.do(Left{})
+	}
+}
+
+func (h *holder) announced(e pollenlatch.Endpoint) {
+	h.facts = &e
+	if h.joined != 0 && !h.factsKnown() {
+		h.renew()
+	}
+}
+
+// delta applies committed commands, or collects a snapshot.
+func (h *holder) delta(d *pollenlatch.Delta) {
+	if h.voter != nil {
+		return // a voter applies its own log
+	}
+	if d.Piece != nil {
+		h.piece(d.Piece)
+		return
+	}
+	s := h.state
+	if d.From > s.Version() {
+		return // a gap; the next renewal tells the leader what is held
+	}
+	skip := int(s.Version() - d.From)
+	if skip >= len(d.Commands) {
+		return
+	}
+	for i := skip; i < len(d.Commands); i++ {
+		s = applyCommand(s, d.From+pollenlatch.Version(i)+1, &d.Commands[i])
+	}
+	h.adopt(s)
+}
+
+func applyCommand(s *state.State, v pollenlatch.Version, c *pollenlatch.Command) *state.State {
+	if c.Noop != nil {
+		return s.Advance(v)
+	}
+	next, _ := s.Apply(v, c)
+	return next
+}
+
+func (h *holder) piece(p *pollenlatch.Piece) {
+	if p.Version <= h.state.Version() {
+		return
+	}
+	if p.Version != h.partsOf {
+		h.parts, h.partsOf = nil, p.Version
+	}
+	if p.Offset == uint64(len(h.parts)) {
+		h.parts = append(h.parts, p.Data...)
+	}
+	if have := uint64(len(h.parts)); have < p.Total {
+		h.send(h.ask(), &pollenlatch.Message{More: &pollenlatch.More{Version: p.Version, Offset: have}})
+		return
+	}
+	s, err := state.Load(h.parts)
+	h.parts = nil
+	if err != nil {
+		h.logf("snapshot of the leader refused", "err", err)
+		return
+	}
+	h.adopt(s)
+}
+
+// adopt takes a newer state and starts what follows from it for this instance.
+func (h *holder) adopt(s *state.State) {
+	h.setState(s)
+	me, ok := s.Lookup(h.cfg.Self.Name)
+	if h.joined != 0 && (!ok || me.Lease != h.joined) {
+		h.dropLease("the log has ended the lease")
+	}
+	h.activate()
+	if h.joined == 0 {
+		return
+	}
+	h.follow(me)
+}
+
+// follow starts hand-overs and renews the server's grants.
+func (h *holder) follow(me pollenlatch.Instance) {
+	var grants []pollenlatch.Grant
+	moves := make(map[lease.Key]*move)
+	h.state.Owned(me.ID, "", func(o pollenlatch.Owner) bool {
+		grants = append(grants, pollenlatch.Grant{Shard: o.Shard, Fence: o.Fence})
+		if !o.Frozen() {
+			return true
+		}
+		k := shardKey(o)
+		if m, ok := h.moves[k]; ok {
+			moves[k] = m
+			return true
+		}
+		if o.Next == me.ID { // a key that goes back to its range, which is ours too
+			moves[k] = &move{empty: true, released: true}
+			return true
+		}
+		moves[k] = &move{}
+		h.do(Await{Key: k})
+		return true
+	})
+	h.moves = moves
+	if !slices.Equal(grants, h.grants) {
+		h.grants = grants
+		_, end := h.held.Lease()
+		h.do(Grant{Grants: grants, Until: end})
+	}
+}
+
+func (h *holder) emptied(k lease.Key) {
+	m, ok := h.moves[k]
+	if !ok || m.empty {
+		return
+	}
+	m.empty = true
+	o, ok := h.state.OwnerAt(k.Shard)
+	if !ok || o.Fence != k.Fence {
+		return
+	}
+	to, ok := h.state.Instance(o.Next)
+	if !ok {
+		return
+	}
+	h.do(HandOver{Key: k, To: to})
+}
+
+func (h *holder) handedOver(e HandedOver) {
+	m, ok := h.moves[e.Key]
+	if !ok {
+		return
+	}
+	m.released, m.noRecords = true, !e.OK
+	h.sendReleases()
+}
+
+// sendReleases tells the leader of finished hand-overs, again and again until
+// the state shows their end.
+func (h *holder) sendReleases() {
+	var items []pollenlatch.Released
+	for k, m := range h.moves {
+		if m.released {
+			items = append(items, pollenlatch.Released{Shard: k.Shard, Fence: k.Fence, NoRecords: m.noRecords})
+		}
+	}
+	if len(items) == 0 || h.joined == 0 {
+		return
+	}
+	slices.SortFunc(items, func(a, b pollenlatch.Released) int { return int(a.Range) - int(b.Range) })
+	me, _ := h.state.Lookup(h.cfg.Self.Name)
+	h.send(h.ask(), &pollenlatch.Message{Release: &pollenlatch.Release{Instance: me.ID, Lease: h.joined, Items: items}})
+}
+
+func (h *holder) submit(e Submitted) {
+	if h.tickets == nil {
+		h.tickets = make(map[uint64]*submitted)
+	}
+	h.tickets[e.ID] = &submitted{ticket: e.Ticket, sentAt: h.now}
+	h.propose(e.ID, e.Ticket)
+}
+
+func (h *holder) propose(id uint64, t pollenlatch.Ticket) {
+	h.send(h.ask(), &pollenlatch.Message{Propose: &pollenlatch.Propose{Seq: id, Ticket: t}})
+}
+
+func (h *holder) resubmit() {
+	for id, s := range h.tickets {
+		if h.now.Sub(s.sentAt) >= submitRetry {
+			s.sentAt = h.now
+			h.propose(id, s.ticket)
+		}
+	}
+}
+
+func (h *holder) decided(d *pollenlatch.Decided) {
+	if _, ok := h.tickets[d.Seq]; !ok || d.Verdict.Retry {
+		return
+	}
+	delete(h.tickets, d.Seq)
+	h.do(Decide{ID: d.Seq, Verdict: d.Verdict})
+}
+
+func (h *holder) startDrain() {
+	if h.draining {
+		return
+	}
+	h.draining = true
+	h.drainEnd = h.now.Add(h.cfg.Timing.Drain)
+	h.renew()
+	h.checkDrain()
+}
+
+// checkDrain reports the end of a drain: this instance owns nothing, the state
+// shows that it is leaving, or the drain time is over.
+func (h *holder) checkDrain() {
+	if h.drained {
+		return
+	}
+	owns := false
+	if me, ok := h.state.Lookup(h.cfg.Self.Name); ok && h.joined != 0 {
+		h.state.Owned(me.ID, "", func(pollenlatch.Owner) bool {
+			owns = true
+			return false
+		})
+	}
+	announced := h.facts == nil || h.joined == 0 || h.factsKnown()
+	if (owns || !announced) && h.now < h.drainEnd {
+		return
+	}
+	h.drained, h.closed, h.dirty = true, true, true
+	h.do(Drained{})
+}
+
+// leave ends the lease. Traffic takes no new work from here on.
+func (h *holder) leave() {
+	h.leaving, h.closed, h.dirty = true, true, true
+	if h.joined == 0 {
+		h.left = true
+		h.do(Left{})
+		return
+	}
+	h.renew()
+}
+
+// publish gives traffic what has changed.
+func (r *Reducer) publish() {
+	if !r.dirty {
+		return
+	}
+	r.dirty = false
+	a := Access{View: r.state, Closed: r.closed, Force: r.holder.force, Restarts: r.restarts}
+	if me, ok := r.state.Lookup(r.cfg.Self.Name); ok {
+		a.Self = me.ID
+	}
+	if r.joined != 0 {
+		_, a.Until = r.held.Lease()
+	}
+	if r.voter != nil {
+		r.describe(&a)
+	}
+	r.do(Publish{Access: a})
+}
--- /dev/null
+++ b/ctrl/leader.go
@@ -0,0 +1,295 @@
+package ctrl
+
+import (
+	"fmt"
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/lease"
+	"pollenlatch/state"
+)
+
+// planInterval is the longest time between two runs of the planner. A change of
+// the state runs it at once.
+const planInterval = 100 * time.Millisecond
+
+// maxRunWait bounds the wait for requests of a lost server that does not check
+// fences, when the service that names the bound is gone.
+const maxRunWait = 30 * time.Second
+
+func (v *voter) onRenew(from string, m *pollenlatch.Renew) {
+	answer := &pollenlatch.Renewed{Seq: m.Seq, Lease: m.Lease, Version: v.state.Version()}
+	defer func() { v.reply(from, &pollenlatch.Message{Renewed: answer}) }()
+	if !v.canGrant() {
+		answer.Refused = pollenlatch.NotLeader
+		answer.Leader = v.leaderAddr()
+		return
+	}
+	v.subscribe(from, m.Held)
+	me, known := v.state.Lookup(m.Name)
+	switch {
+	case from != m.Name:
+		answer.Refused = pollenlatch.Ended
+	case m.Lease == 0:
+		v.join(m, me, known, answer)
+	case !known || me.Lease != m.Lease:
+		answer.Refused = pollenlatch.Ended
+	case m.Leave:
+		v.endLease(me)
+		answer.Refused = pollenlatch.Pending
+	default:
+		v.extend(m, me, answer)
+	}
+}
+
+func (v *voter) leaderAddr() string {
+	if v.leader == "" || v.lead {
+		return ""
+	}
+	for _, m := range v.log.Members() {
+		if m.Name == v.leader {
+			return m.Addr
+		}
+	}
+	return ""
+}
+
+// join starts a lease. A process that runs under a name whose last lease has
+// not ended waits for its end: the process before it may still be acting.
+func (v *voter) join(m *pollenlatch.Renew, me pollenlatch.Instance, known bool, answer *pollenlatch.Renewed) {
+	answer.Refused = pollenlatch.Pending
+	if known && me.Alive() {
+		if me.Incarnation == m.Incarnation {
+			answer.Lease = me.Lease
+			v.extend(m, me, answer)
+		}
+		return
+	}
+	if m.Join == nil || m.Join.Name != m.Name {
+		answer.Refused = pollenlatch.Ended
+		return
+	}
+	v.proposeOnce("join "+m.Name, &pollenlatch.Command{Join: m.Join})
+}
+
+func (v *voter) endLease(me pollenlatch.Instance) {
+	v.proposeOnce(fmt.Sprintf("expire %d", me.Lease), &pollenlatch.Command{Expire: &pollenlatch.Expire{
+		Instance: me.ID, Lease: me.Lease, Graceful: true,
+	}})
+}
+
+func (v *voter) extend(m *pollenlatch.Renew, me pollenlatch.Instance, answer *pollenlatch.Renewed) {
+	if m.Held < v.newest && v.now.Sub(v.behind) > v.cfg.Timing.Grace {
+		answer.Refused = pollenlatch.Behind
+		return
+	}
+	if !v.granter.Extend(me.ID, me.Lease, v.now, v.cfg.Timing.Lease) {
+		answer.Refused = pollenlatch.Ended
+		return
+	}
+	answer.Refused = pollenlatch.Extended
+	answer.TTL = v.cfg.Timing.Lease
+	answer.Force = v.inForce()
+	if m.Load != nil {
+		v.loads[me.ID] = *m.Load
+	}
+	if m.Facts != nil && (me.Endpoint == nil || *me.Endpoint != *m.Facts) {
+		v.proposeOnce(fmt.Sprintf("announce %d", me.ID), &pollenlatch.Command{Announce: &pollenlatch.Announce{
+			Instance: me.ID, Lease: me.Lease, Endpoint: *m.Facts,
+		}})
+	}
+}
+
+// inForce returns a version that every daemon with a lease holds. It is counted
+// anew at intervals, since it looks at every daemon.
+func (v *voter) inForce() pollenlatch.Version {
+	if v.now.Sub(v.forceAt) >= v.cfg.Timing.Renew/2 {
+		v.forceAt = v.now
+		v.force = max(v.force, v.countForce())
+	}
+	return v.force
+}
+
+func (v *voter) countForce() pollenlatch.Version {
+	low := v.state.Version()
+	for _, i := range v.state.Instances() {
+		if !i.Alive() || i.Name == v.cfg.Self.Name {
+			continue
+		}
+		s, ok := v.subs[i.Name]
+		if !ok {
+			return 0 // a lease of the former leader's time that was not renewed yet
+		}
+		low = min(low, s.held)
+	}
+	return low
+}
+
+// expire ends the leases that have lapsed.
+func (v *voter) expire() {
+	for _, l := range v.granter.Lapsed(v.now) {
+		if _, ok := v.endedAt[l.Instance]; !ok {
+			v.endedAt[l.Instance] = l.End
+		}
+		v.proposeOnce(fmt.Sprintf("expire %d", l.Lease), &pollenlatch.Command{Expire: &pollenlatch.Expire{
+			Instance: l.Instance, Lease: l.Lease,
+		}})
+	}
+}
+
+func (v *voter) onRelease(from string, m *pollenlatch.Release) {
+	me, ok := v.state.Lookup(from)
+	if !v.canGrant() || !ok || me.ID != m.Instance || me.Lease != m.Lease {
+		return
+	}
+	var items []pollenlatch.AssignItem
+	for _, i := range m.Items {
+		o, ok := v.state.OwnerAt(i.Shard)
+		if !ok || o.Instance != me.ID || o.Fence != i.Fence || !o.Frozen() {
+			continue
+		}
+		items = append(items, v.released(o, me.Lease, i.NoRecords))
+	}
+	if len(items) > 0 {
+		v.proposeOnce(fmt.Sprintf("release %d", me.ID), &pollenlatch.Command{Assign: &pollenlatch.Assign{Items: items}})
+	}
+}
+
+// released returns the assignment that ends the hand-over of a shard. A range
+// may have been frozen for one of its keys only, and a key that goes to the
+// owner of its range loses its own record.
+func (v *voter) released(o pollenlatch.Owner, l pollenlatch.Lease, noRecords bool) pollenlatch.AssignItem {
+	item := pollenlatch.AssignItem{Shard: o.Shard, To: o.Next, Expect: o.Fence, Released: l, NoRecords: noRecords}
+	if o.Key == "" {
+		item.Key = v.splits[lease.Key{Shard: o.Shard, Fence: o.Fence}]
+		return item
+	}
+	if r, ok := v.state.OwnerAt(rangeOf(o.Shard)); ok && r.Instance == o.Next {
+		item.To = 0
+	}
+	return item
+}
+
+func rangeOf(s pollenlatch.Shard) pollenlatch.Shard {
+	return pollenlatch.Shard{Service: s.Service, Range: s.Range}
+}
+
+// runPlan asks the planner for moves. It waits for the last moves to be
+// applied, so that the same move is not proposed twice.
+func (v *voter) runPlan() {
+	if v.cfg.Planner == nil || (!v.replan && v.now.Sub(v.planAt) < planInterval) {
+		return
+	}
+	if _, busy := v.pending["plan"]; busy {
+		return
+	}
+	v.replan, v.planAt = false, v.now
+	moves := v.cfg.Planner.Plan(v.placement())
+	assign, freeze := v.commandsOf(moves)
+	var commands []*pollenlatch.Command
+	if len(assign.Items) > 0 {
+		commands = append(commands, &pollenlatch.Command{Assign: assign})
+	}
+	if len(freeze.Items) > 0 {
+		commands = append(commands, &pollenlatch.Command{Freeze: freeze})
+	}
+	if len(commands) > 0 {
+		v.proposeOnce("plan", commands...)
+	}
+}
+
+func (v *voter) placement() pollenlatch.Placement {
+	busy := make(map[pollenlatch.InstanceID]int)
+	for _, owner := range v.moving {
+		busy[owner]++
+	}
+	return pollenlatch.Placement{View: v.state, Loads: v.loads, Held: v.heldBack(), Busy: busy, Now: v.now}
+}
+
+// heldBack returns the lost instances whose server does not check fences and
+// may still run what it was given before the lease ended.
+func (v *voter) heldBack() pollenlatch.Set[pollenlatch.InstanceID] {
+	held := make(pollenlatch.Set[pollenlatch.InstanceID])
+	for id, end := range v.endedAt {
+		i, ok := v.state.Instance(id)
+		if !ok || i.Endpoint == nil || i.Endpoint.Fenced {
+			continue
+		}
+		wait := maxRunWait
+		if s, ok := v.state.Service(i.Endpoint.Service); ok {
+			wait = s.MaxRun
+		}
+		if v.now < end.Add(wait) {
+			held[id] = struct{}{}
+		}
+	}
+	return held
+}
+
+func (v *voter) commandsOf(moves []pollenlatch.Move) (*pollenlatch.Assign, *pollenlatch.Freeze) {
+	assign, freeze := new(pollenlatch.Assign), new(pollenlatch.Freeze)
+	for _, m := range moves {
+		if m.From == 0 {
+			o, _ := v.state.OwnerAt(m.Shard)
+			assign.Items = append(assign.Items, pollenlatch.AssignItem{
+				Shard: m.Shard, To: m.To, Expect: m.Fence, NoRecords: o.Last != 0,
+			})
+			continue
+		}
+		freeze.Items = append(freeze.Items, v.freezeOf(m))
+	}
+	return assign, freeze
+}
+
+// freezeOf returns the start of a hand-over. A key without a record of its own
+// is handed over by freezing its range until the key has a record.
+func (v *voter) freezeOf(m pollenlatch.Move) pollenlatch.FreezeItem {
+	item := pollenlatch.FreezeItem{Shard: m.Shard, To: m.To, Expect: m.Fence}
+	if m.Key == "" {
+		return item
+	}
+	r, _ := v.state.OwnerAt(rangeOf(m.Shard))
+	if m.To == 0 {
+		item.To = r.Instance
+		return item
+	}
+	if _, ok := v.state.OwnerAt(m.Shard); ok {
+		return item
+	}
+	item.Shard = rangeOf(m.Shard)
+	if v.splits == nil {
+		v.splits = make(map[lease.Key]string)
+	}
+	v.splits[lease.Key{Shard: item.Shard, Fence: m.Fence}] = m.Key
+	return item
+}
+
+// noteMoves keeps the list of hand-overs in progress.
+func (v *voter) noteMoves(s *state.State, changed []pollenlatch.Shard) {
+	for _, sh := range changed {
+		o, ok := s.OwnerAt(sh)
+		if ok && o.Frozen() {
+			v.moving[sh] = o.Instance
+			continue
+		}
+		delete(v.moving, sh)
+	}
+	for k := range v.splits {
+		if o, ok := s.OwnerAt(k.Shard); !ok || o.Fence != k.Fence {
+			delete(v.splits, k)
+		}
+	}
+}
+
+// findMoves lists the hand-overs in progress of a state that was loaded whole.
+func (v *voter) findMoves(s *state.State) {
+	v.moving = make(map[pollenlatch.Shard]pollenlatch.InstanceID)
+	for _, svc := range s.Services() {
+		s.Shards(svc.Name, func(o pollenlatch.Owner) bool {
+			if o.Frozen() {
+				v.moving[o.Shard] = o.Instance
+			}
+			return true
+		})
+	}
+}
--- /dev/null
+++ b/ctrl/loop.go
@@ -0,0 +1,303 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pollenlatch"
+	"pollenlatch/lease"
+	"pollenlatch/quorum"
+)
+
+// Sender sends control messages. Neither method blocks, and both may lose the
+// message.
+type Sender interface {
+	Send(addr string, m *pollenlatch.Message)
+	Reply(to string, m *pollenlatch.Message)
+}
+
+// Disk keeps a voter's log. Save returns once everything is synced.
+type Disk interface {
+	Save(p quorum.Persist) error
+}
+
+// Transfer sends the idempotency records of a shard to its next owner and
+// reports whether they arrived.
+type Transfer func(ctx context.Context, k lease.Key, to pollenlatch.Instance) bool
+
+// ErrClosed says that the loop has ended.
+var ErrClosed = errors.New("control loop has ended")
+
+const (
+	// eventQueue is the number of events that may wait for the loop.
+	eventQueue = 4096
+	// diskQueue is the number of writes that may wait for the disk. Answers
+	// have a queue of twice that size, so that a loop that waits for the disk
+	// never keeps the disk waiting.
+	diskQueue = 1024
+	// grantTimeout bounds one call to the server beside this daemon.
+	grantTimeout = 500 * time.Millisecond
+	// transferTimeout bounds the sending of one shard's records. Requests for
+	// the shard wait for it.
+	transferTimeout = time.Second
+)
+
+// Loop owns a Reducer: one goroutine handles the events in order and carries
+// out the effects.
+type Loop struct {
+	Reducer  *Reducer
+	Desk     *Desk
+	Clock    pollenlatch.Clock
+	Sender   Sender
+	Disk     Disk                // nil in a process that is not a voter
+	Granter  pollenlatch.Granter // nil when there is no server beside this daemon
+	Transfer Transfer
+	Log      *quorum.Start // what the data folder held; nil in a process that is not a voter
+
+	events  chan func(pollenlatch.Mono) Event
+	disk    chan quorum.Persist
+	synced  chan Synced
+	grants  chan func(context.Context)
+	done    chan struct{}
+	drained chan struct{}
+	left    chan struct{}
+	halted  error
+	workers sync.WaitGroup
+
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]chan pollenlatch.Verdict
+}
+
+// Start runs the loop until ctx ends.
+func (l *Loop) Start(ctx context.Context) {
+	l.events = make(chan func(pollenlatch.Mono) Event, eventQueue)
+	l.disk = make(chan quorum.Persist, diskQueue)
+	l.synced = make(chan Synced, 2*diskQueue)
+	l.grants = make(chan func(context.Context), 1)
+	l.done = make(chan struct{})
+	l.drained = make(chan struct{})
+	l.left = make(chan struct{})
+	l.waiting = make(map[uint64]chan pollenlatch.Verdict)
+	if l.Clock == nil {
+		l.Clock = pollenlatch.System{}
+	}
+	if l.Disk != nil {
+		l.workers.Go(l.runDisk)
+	}
+	if l.Granter != nil {
+		l.workers.Go(func() { l.runGrants(ctx) })
+	}
+	go l.run(ctx)
+}
+
+// Done is closed when the loop has ended.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
+// Drained is closed when this instance owns nothing any more after Drain.
+func (l *Loop) Drained() <-chan struct{} { return l.drained }
+
+// Left is closed when the lease has ended after Leave.
+func (l *Loop) Left() <-chan struct{} { return l.left }
+
+// Err returns why this process can no longer be a voter, once Done is closed.
+func (l *Loop) Err() error { return l.halted }
+
+// Receive hands over a control message.
+func (l *Loop) Receive(from string, m *pollenlatch.Message) {
+	l.post(func(now pollenlatch.Mono) Event { return Received{Now: now, From: from, Message: m} })
+}
+
+// Announce takes the newest facts of the server beside this daemon.
+func (l *Loop) Announce(e pollenlatch.Endpoint) {
+	l.post(func(now pollenlatch.Mono) Event { return Announced{Now: now, Endpoint: e} })
+}
+
+// Measure takes the newest load of the server beside this daemon.
+func (l *Loop) Measure(load pollenlatch.Load) {
+	l.post(func(now pollenlatch.Mono) Event { return Measured{Now: now, Load: load} })
+}
+
+// Drain starts a graceful shutdown.
+func (l *Loop) Drain() { l.post(func(now pollenlatch.Mono) Event { return Draining{Now: now} }) }
+
+// Leave ends the lease.
+func (l *Loop) Leave() { l.post(func(now pollenlatch.Mono) Event { return Leaving{Now: now} }) }
+
+// Submit proposes a ticket and waits for its verdict. It returns ctx's error
+// when no verdict came in time; the same ticket may then be submitted again.
+func (l *Loop) Submit(ctx context.Context, t pollenlatch.Ticket) (pollenlatch.Verdict, error) {
+	answer := make(chan pollenlatch.Verdict, 1)
+	l.mu.Lock()
+	l.nextID++
+	id := l.nextID
+	l.waiting[id] = answer
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.waiting, id)
+		l.mu.Unlock()
+	}()
+	l.post(func(now pollenlatch.Mono) Event { return Submitted{Now: now, ID: id, Ticket: t} })
+	select {
+	case v := <-answer:
+		return v, nil
+	case <-ctx.Done():
+		l.post(func(now pollenlatch.Mono) Event { return Withdrawn{Now: now, ID: id} })
+		return pollenlatch.Verdict{}, context.Cause(ctx)
+	case <-l.done:
+		return pollenlatch.Verdict{}, ErrClosed
+	}
+}
+
+// post queues an event. Its time is read when the loop takes it, so that times
+// never go backwards.
+func (l *Loop) post(ev func(pollenlatch.Mono) Event) {
+	select {
+	case l.events <- ev:
+	case <-l.done:
+	}
+}
+
+func (l *Loop) run(ctx context.Context) {
+	defer l.end()
+	tick := time.NewTicker(TickInterval)
+	defer tick.Stop()
+	l.step(ctx, Boot{Now: l.Clock.Now(), Log: l.Log})
+	for l.halted == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.synced:
+			e.Now = l.Clock.Now()
+			l.step(ctx, e)
+		case ev := <-l.events:
+			l.step(ctx, ev(l.Clock.Now()))
+		case <-tick.C:
+			l.step(ctx, Tick{Now: l.Clock.Now()})
+		}
+	}
+}
+
+func (l *Loop) end() {
+	l.Desk.Publish(Access{View: l.Reducer.State()})
+	close(l.done)
+	close(l.disk)
+	close(l.grants)
+	l.workers.Wait()
+}
+
+func (l *Loop) step(ctx context.Context, ev Event) {
+	for _, e := range l.Reducer.Step(ev) {
+		l.carryOut(ctx, e)
+	}
+}
+
+func (l *Loop) carryOut(ctx context.Context, e Effect) {
+	switch e := e.(type) {
+	case Send:
+		l.Sender.Send(e.Addr, e.Message)
+	case Reply:
+		l.Sender.Reply(e.To, e.Message)
+	case Persist:
+		l.disk <- e.Persist
+	case Publish:
+		l.Desk.Publish(e.Access)
+	case Grant:
+		l.grant(func(ctx context.Context) error {
+			return l.Granter.Grant(ctx, e.Grants, e.Until.Sub(l.Clock.Now()))
+		})
+	case Extend:
+		l.extend(e)
+	case Await:
+		l.Desk.Await(e.Key, func() {
+			l.later(func(now pollenlatch.Mono) Event { return Emptied{Now: now, Key: e.Key} })
+		})
+	case HandOver:
+		go l.handOver(ctx, e)
+	case Decide:
+		l.decide(e)
+	case Drained:
+		close(l.drained)
+	case Left:
+		close(l.left)
+	case Halt:
+		l.halted = e.Err
+		klog.ErrorS(e.Err, "this process can no longer be a voter")
+	case Log:
+		klog.InfoS(e.Message, e.Pairs...)
+	}
+}
+
+// later posts from the loop's own goroutine, which must not wait for its queue.
+func (l *Loop) later(ev func(pollenlatch.Mono) Event) { go l.post(ev) }
+
+func (l *Loop) decide(e Decide) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c, ok := l.waiting[e.ID]; ok {
+		c <- e.Verdict
+		delete(l.waiting, e.ID)
+	}
+}
+
+func (l *Loop) handOver(ctx context.Context, e HandOver) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	ok := l.Transfer == nil || l.Transfer(ctx, e.Key, e.To)
+	l.post(func(now pollenlatch.Mono) Event { return HandedOver{Now: now, Key: e.Key, OK: ok} })
+}
+
+func (l *Loop) runDisk() {
+	for p := range l.disk {
+		select {
+		case l.synced <- Synced{Seq: p.Seq, Err: l.Disk.Save(p)}:
+		case <-l.done:
+		}
+	}
+}
+
+// extend is skipped while another call to the server is under way: the next
+// renewal brings a later end.
+func (l *Loop) extend(e Extend) {
+	if l.Granter == nil {
+		return
+	}
+	select {
+	case l.grants <- func(ctx context.Context) {
+		if err := l.Granter.Extend(ctx, e.Until.Sub(l.Clock.Now())); err != nil {
+			klog.V(1).InfoS("grants not extended", "err", err)
+		}
+	}:
+	default:
+	}
+}
+
+// grant replaces what waits for the server, since the newest grants count.
+func (l *Loop) grant(call func(context.Context) error) {
+	if l.Granter == nil {
+		return
+	}
+	f := func(ctx context.Context) {
+		if err := call(ctx); err != nil {
+			klog.V(1).InfoS("grants not accepted", "err", err)
+		}
+	}
+	select {
+	case <-l.grants:
+	default:
+	}
+	l.grants <- f
+}
+
+func (l *Loop) runGrants(ctx context.Context) {
+	for call := range l.grants {
+		c, cancel := context.WithTimeout(ctx, grantTimeout)
+		call(c)
+		cancel()
+	}
+}
--- /dev/null
+++ b/ctrl/push.go
@@ -0,0 +1,171 @@
+package ctrl
+
+import (
+	"time"
+
+	"pollenlatch"
+)
+
+const (
+	// tailEntries and tailBytes bound the commands kept for daemons that lag.
+	// One that lags further gets a snapshot.
+	tailEntries = 8192
+	tailBytes   = 8 << 20
+
+	// deltaBytes bounds one Delta.
+	deltaBytes = 256 << 10
+
+	// pushRetry is the time after which commands that a daemon does not show
+	// in its renewals are sent again. It is longer than two renewals.
+	pushRetry = 300 * time.Millisecond
+)
+
+// sub is a daemon that is told of new commands.
+type sub struct {
+	held   pollenlatch.Version // as the daemon says
+	sent   pollenlatch.Version
+	sentAt pollenlatch.Mono
+
+	loading pollenlatch.Version // version of the snapshot that it is receiving; 0 is none
+}
+
+// offer is an encoded snapshot for daemons that lag.
+type offer struct {
+	version pollenlatch.Version
+	data    []byte
+}
+
+// tail keeps the newest commands. The zero value is empty.
+type tail struct {
+	first    pollenlatch.Version // version of commands[0]
+	commands []*pollenlatch.Command
+	sizes    []int
+	bytes    int
+}
+
+func (t *tail) reset(at pollenlatch.Version) {
+	*t = tail{first: at + 1}
+}
+
+func (t *tail) add(at pollenlatch.Version, c *pollenlatch.Command, size int) {
+	if len(t.commands) == 0 {
+		t.first = at
+	}
+	t.commands = append(t.commands, c)
+	t.sizes = append(t.sizes, size)
+	t.bytes += size
+	for len(t.commands) > tailEntries || (t.bytes > tailBytes && len(t.commands) > 1) {
+		t.bytes -= t.sizes[0]
+		t.commands[0] = nil
+		t.commands, t.sizes = t.commands[1:], t.sizes[1:]
+		t.first++
+	}
+}
+
+// after returns the commands after version v, up to deltaBytes, or false when
+// they are no longer kept.
+func (t *tail) after(v pollenlatch.Version) ([]pollenlatch.Command, bool) {
+	if v+1 < t.first {
+		return nil, false
+	}
+	var out []pollenlatch.Command
+	bytes := 0
+	for i := int(v + 1 - t.first); i < len(t.commands) && bytes < deltaBytes; i++ {
+		out = append(out, *t.commands[i])
+		bytes += t.sizes[i]
+	}
+	return out, true
+}
+
+// subscribe notes what a daemon holds and sends it what it lacks.
+func (v *voter) subscribe(name string, held pollenlatch.Version) {
+	if name == v.cfg.Self.Name {
+		return
+	}
+	s, ok := v.subs[name]
+	if !ok {
+		s = &sub{sent: held}
+		v.subs[name] = s
+	}
+	s.held = held
+	if held > s.sent || (held < s.sent && v.now.Sub(s.sentAt) >= pushRetry) {
+		s.sent = held
+	}
+	v.pushTo(name, s)
+}
+
+// push sends new commands to every daemon. A voter applies its own log.
+func (v *voter) push() {
+	if !v.lead {
+		return
+	}
+	for name, s := range v.subs {
+		v.pushTo(name, s)
+	}
+}
+
+func (v *voter) pushTo(name string, s *sub) {
+	if v.isVoter(name) {
+		s.sent = v.state.Version()
+		return
+	}
+	if s.loading > s.held && v.now.Sub(s.sentAt) < pushRetry {
+		return // it is receiving a snapshot
+	}
+	s.loading = 0
+	for s.sent < v.state.Version() {
+		commands, ok := v.tail.after(s.sent)
+		if !ok {
+			v.offerSnapshot(name, s)
+			return
+		}
+		if len(commands) == 0 {
+			return
+		}
+		v.reply(name, &pollenlatch.Message{Delta: &pollenlatch.Delta{From: s.sent, Commands: commands}})
+		s.sent += pollenlatch.Version(len(commands))
+		s.sentAt = v.now
+	}
+}
+
+// offerSnapshot sends the first piece of a snapshot; the daemon asks for each
+// of the others, so that no more than one waits for it at a time. Daemons share
+// a snapshot for as long as the commands after it are kept.
+func (v *voter) offerSnapshot(name string, s *sub) {
+	if _, ok := v.tail.after(v.offer.version); !ok || v.offer.data == nil {
+		b, err := v.state.Snapshot()
+		if err != nil {
+			v.logf("snapshot for a daemon not made", "to", name, "err", err)
+			return
+		}
+		v.offer = offer{version: v.state.Version(), data: b}
+	}
+	s.loading, s.sent = v.offer.version, v.offer.version
+	v.sendPiece(name, s, 0)
+}
+
+func (v *voter) onMore(from string, m *pollenlatch.More) {
+	s, ok := v.subs[from]
+	if !ok || m.Version != v.offer.version || m.Offset >= uint64(len(v.offer.data)) {
+		return
+	}
+	s.loading = v.offer.version
+	v.sendPiece(from, s, m.Offset)
+}
+
+func (v *voter) sendPiece(name string, s *sub, off uint64) {
+	end := min(off+pollenlatch.PieceBytes, uint64(len(v.offer.data)))
+	v.reply(name, &pollenlatch.Message{Delta: &pollenlatch.Delta{Piece: &pollenlatch.Piece{
+		Version: v.offer.version, Offset: off, Total: uint64(len(v.offer.data)), Data: v.offer.data[off:end],
+	}}})
+	s.sentAt = v.now
+}
+
+func (v *voter) isVoter(name string) bool {
+	for _, m := range v.log.Members() {
+		if m.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/ctrl/reducer.go
@@ -0,0 +1,175 @@
+package ctrl
+
+import (
+	"pollenlatch"
+	"pollenlatch/lease"
+	"pollenlatch/quorum"
+	"pollenlatch/state"
+)
+
+// Config is what a reducer knows before its first event.
+type Config struct {
+	Self    pollenlatch.Join // what this process says of itself when it joins
+	Voters  []pollenlatch.Member
+	Timing  Timing
+	Quorum  *quorum.Config // nil in a process that is not a voter
+	Planner pollenlatch.Planner
+	// CompactAfter is the number of log entries after which a voter makes a
+	// snapshot. 0 is DefaultCompactAfter.
+	CompactAfter uint64
+}
+
+// DefaultCompactAfter bounds the log that a voter reads at its start.
+const DefaultCompactAfter = 20_000
+
+// Reducer is the control state of one process.
+type Reducer struct {
+	cfg   Config
+	now   pollenlatch.Mono
+	state *state.State
+	out   []Effect
+	self  []*pollenlatch.Message // messages of this process to itself
+
+	*holder
+	*voter
+}
+
+// New returns the reducer of a process that has not started yet.
+func New(cfg Config) *Reducer {
+	r := &Reducer{cfg: cfg, state: &state.State{}}
+	r.holder = &holder{Reducer: r}
+	if cfg.Quorum != nil {
+		r.voter = newVoter(r, *cfg.Quorum)
+	}
+	return r
+}
+
+// State returns the state that this process holds.
+func (r *Reducer) State() *state.State { return r.state }
+
+// Step takes one event and returns its effects, in the order in which they
+// have to be carried out.
+func (r *Reducer) Step(ev Event) []Effect {
+	r.out = nil
+	r.handle(ev)
+	for len(r.self) > 0 {
+		m := r.self[0]
+		r.self = r.self[1:]
+		r.receive(r.cfg.Self.Name, m)
+	}
+	r.publish()
+	return r.out
+}
+
+func (r *Reducer) handle(ev Event) {
+	switch e := ev.(type) {
+	case Boot:
+		r.now = e.Now
+		if r.voter != nil && e.Log != nil {
+			r.start(*e.Log)
+		}
+	case Tick:
+		r.now = e.Now
+		if r.voter != nil {
+			r.tickVoter()
+		}
+		r.tickHolder()
+	case Received:
+		r.now = e.Now
+		r.receive(e.From, e.Message)
+	case Synced:
+		r.now = e.Now
+		if r.voter != nil {
+			r.synced(e)
+		}
+	case Announced:
+		r.now = e.Now
+		r.announced(e.Endpoint)
+	case Measured:
+		r.now = e.Now
+		r.load = &e.Load
+	case Emptied:
+		r.now = e.Now
+		r.emptied(e.Key)
+	case HandedOver:
+		r.now = e.Now
+		r.handedOver(e)
+	case Submitted:
+		r.now = e.Now
+		r.submit(e)
+	case Withdrawn:
+		r.now = e.Now
+		delete(r.tickets, e.ID)
+	case Draining:
+		r.now = e.Now
+		r.startDrain()
+	case Leaving:
+		r.now = e.Now
+		r.leave()
+	}
+}
+
+func (r *Reducer) receive(from string, m *pollenlatch.Message) {
+	switch {
+	case m.Renewed != nil:
+		r.renewed(from, m.Renewed)
+	case m.Delta != nil:
+		r.delta(m.Delta)
+	case m.Decided != nil:
+		r.decided(m.Decided)
+	case r.voter == nil:
+		r.refuse(from, m)
+	case m.Renew != nil:
+		r.onRenew(from, m.Renew)
+	case m.Release != nil:
+		r.onRelease(from, m.Release)
+	case m.Propose != nil:
+		r.onPropose(from, m.Propose)
+	case m.More != nil:
+		r.onMore(from, m.More)
+	case m.Quorum != nil:
+		r.onQuorum(from, m.Quorum)
+	}
+}
+
+// refuse answers what only a voter could.
+func (r *Reducer) refuse(from string, m *pollenlatch.Message) {
+	switch {
+	case m.Renew != nil:
+		r.reply(from, &pollenlatch.Message{Renewed: &pollenlatch.Renewed{Seq: m.Renew.Seq, Refused: pollenlatch.NotLeader}})
+	case m.Propose != nil:
+		r.reply(from, &pollenlatch.Message{Decided: &pollenlatch.Decided{Seq: m.Propose.Seq, Verdict: pollenlatch.Verdict{Retry: true}}})
+	}
+}
+
+func (r *Reducer) do(e Effect) { r.out = append(r.out, e) }
+
+func (r *Reducer) logf(message string, pairs ...any) {
+	r.do(Log{Message: message, Pairs: pairs})
+}
+
+func (r *Reducer) reply(to string, m *pollenlatch.Message) {
+	if to == r.cfg.Self.Name {
+		r.self = append(r.self, m)
+		return
+	}
+	r.do(Reply{To: to, Message: m})
+}
+
+func (r *Reducer) send(addr string, m *pollenlatch.Message) {
+	if addr == r.cfg.Self.Addr {
+		r.self = append(r.self, m)
+		return
+	}
+	r.do(Send{Addr: addr, Message: m})
+}
+
+// setState takes a newer state and starts what follows from it.
+func (r *Reducer) setState(s *state.State) {
+	r.state = s
+	r.dirty = true
+}
+
+func shardKey(o pollenlatch.Owner) lease.Key {
+	return lease.Key{Shard: o.Shard, Fence: o.Fence}
+}
--- /dev/null
+++ b/ctrl/voter.go
@@ -0,0 +1,400 @@
+package ctrl
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pollenlatch"
+	"pollenlatch/lease"
+	"pollenlatch/quorum"
+	"pollenlatch/state"
+	"pollenlatch/ticket"
+)
+
+// voter is the part of a reducer that keeps the replicated log and, while it
+// leads, grants leases, decides tickets and runs the planner.
+type voter struct {
+	*Reducer
+	log     *quorum.Replica
+	applied uint64 // index of the last entry given to the state
+	compact uint64 // index of the last snapshot
+	halted  bool
+
+	lead      bool
+	term      uint64
+	leader    string
+	electedAt pollenlatch.Mono
+	ready     bool   // the state holds everything that earlier leaders committed
+	readyAt   uint64 // index after which the leader is ready
+
+	granter  lease.Granter
+	nextID   uint64
+	proposed map[uint64]string // proposal in the log's hands -> what it is for
+	pending  map[string]uint64 // what is being proposed -> its index; 0 before it has one
+	subs     map[string]*sub
+	tail     tail
+	offer    offer
+	waiters  map[document][]waiter
+	loads    map[pollenlatch.InstanceID]pollenlatch.Load
+	endedAt  map[pollenlatch.InstanceID]pollenlatch.Mono
+	behind   pollenlatch.Mono // when the newest ticket was applied
+	newest   pollenlatch.Version
+	moving   map[pollenlatch.Shard]pollenlatch.InstanceID // hand-overs in progress, by present owner
+	splits   map[lease.Key]string                         // ranges frozen for one of their keys
+	planAt   pollenlatch.Mono
+	replan   bool
+	force    pollenlatch.Version // version held by every daemon with a lease, as of forceAt
+	forceAt  pollenlatch.Mono
+
+	queue    []quorum.Event // events that came up while another was handled
+	stepping bool
+}
+
+// document is a ticket as sent. Two documents with the same number get verdicts
+// of their own.
+type document struct {
+	number uint64
+	text   string
+}
+
+// waiter is a daemon that waits for a ticket's verdict.
+type waiter struct {
+	name string
+	seq  uint64
+}
+
+func newVoter(r *Reducer, cfg quorum.Config) *voter {
+	return &voter{
+		Reducer: r, log: quorum.New(cfg),
+		moving: make(map[pollenlatch.Shard]pollenlatch.InstanceID),
+	}
+}
+
+func (v *voter) start(s quorum.Start) {
+	s.Now = v.now
+	v.step(s)
+}
+
+func (v *voter) tickVoter() {
+	v.step(quorum.Tick{Now: v.now})
+	if !v.lead {
+		return
+	}
+	v.checkReady()
+	if v.ready {
+		v.expire()
+		v.runPlan()
+	}
+}
+
+func (v *voter) synced(e Synced) {
+	v.step(quorum.Persisted{Now: v.now, Seq: e.Seq, Err: e.Err})
+}
+
+func (v *voter) onQuorum(from string, b []byte) {
+	var m quorum.Message
+	if err := pollenlatch.Decode(b, &m); err != nil {
+		v.logf("message of a voter refused", "from", from, "err", err)
+		return
+	}
+	v.step(quorum.Receive{Now: v.now, From: from, Message: m})
+}
+
+// step gives an event to the replicated log and takes its effects over. An
+// event that an effect brings about is handled after the effect's successors,
+// so that writes keep their order.
+func (v *voter) step(ev quorum.Event) {
+	v.queue = append(v.queue, ev)
+	if v.stepping {
+		return
+	}
+	v.stepping = true
+	for len(v.queue) > 0 {
+		next := v.queue[0]
+		v.queue = v.queue[1:]
+		for _, e := range v.log.Step(next) {
+			v.effect(e)
+		}
+		v.checkReady()
+	}
+	v.stepping = false
+}
+
+func (v *voter) effect(e quorum.Effect) {
+	switch e := e.(type) {
+	case quorum.Send:
+		b, err := pollenlatch.Encode(&e.Message)
+		if err != nil {
+			v.logf("message to a voter not encoded", "to", e.To.Name, "err", err)
+			return
+		}
+		v.do(Send{Addr: e.To.Addr, Message: &pollenlatch.Message{Quorum: b}})
+	case quorum.Persist:
+		v.do(Persist{Persist: e})
+	case quorum.Apply:
+		v.apply(e.Entries)
+	case quorum.Restore:
+		v.restore(e.Snapshot)
+	case quorum.Accepted:
+		if what, ok := v.proposed[e.ID]; ok {
+			delete(v.proposed, e.ID)
+			v.pending[what] = e.Index
+		}
+	case quorum.Rejected:
+		if what, ok := v.proposed[e.ID]; ok {
+			delete(v.proposed, e.ID)
+			delete(v.pending, what)
+		}
+	case quorum.Role:
+		v.role(e)
+	case quorum.Halt:
+		v.halted = true
+		v.do(Halt{Err: e.Err})
+	}
+}
+
+func (v *voter) role(e quorum.Role) {
+	v.leader, v.term, v.dirty = e.Leader, e.Term, true
+	v.knowLeader()
+	if e.Lead == v.lead {
+		return
+	}
+	v.lead, v.ready = e.Lead, false
+	v.granter.Reset()
+	v.proposed, v.pending = nil, nil
+	v.subs, v.waiters = nil, nil
+	v.loads, v.endedAt, v.splits = nil, nil, nil
+	if !e.Lead {
+		v.logf("leadership ended", "term", e.Term)
+		return
+	}
+	v.electedAt = v.now
+	v.readyAt = v.log.LastIndex()
+	v.proposed = make(map[uint64]string)
+	v.pending = make(map[string]uint64)
+	v.subs = make(map[string]*sub)
+	v.waiters = make(map[document][]waiter)
+	v.loads = make(map[pollenlatch.InstanceID]pollenlatch.Load)
+	v.endedAt = make(map[pollenlatch.InstanceID]pollenlatch.Mono)
+	v.logf("leadership started", "term", e.Term)
+}
+
+// knowLeader lets this process's own daemon ask the new leader at once.
+func (v *voter) knowLeader() {
+	for _, m := range v.log.Members() {
+		if m.Name == v.leader {
+			v.holder.leader = m.Addr
+		}
+	}
+}
+
+// checkReady starts the leader's work once the state holds every entry that
+// stood in the log at its election. The old leader may have extended any lease
+// until the election, so each of them counts as extended then.
+func (v *voter) checkReady() {
+	if !v.lead || v.ready || v.applied < v.readyAt {
+		return
+	}
+	v.ready, v.replan = true, true
+	v.behind, v.newest = v.now, newestTicket(v.state)
+	for _, i := range v.state.Instances() {
+		if i.Alive() {
+			v.granter.Extend(i.ID, i.Lease, v.electedAt, v.cfg.Timing.Lease)
+		} else {
+			v.endedAt[i.ID] = v.electedAt
+		}
+	}
+	v.changeGroup()
+}
+
+// newestTicket returns the version of the newest accepted ticket.
+func newestTicket(s *state.State) pollenlatch.Version {
+	for _, r := range s.Tickets(0, state.MaxRecords) {
+		if r.Verdict.Accepted {
+			return r.Verdict.Version
+		}
+	}
+	return 0
+}
+
+// canGrant reports whether this process may extend leases now.
+func (v *voter) canGrant() bool {
+	return v.lead && v.ready && !v.halted && v.log.Leading(v.now)
+}
+
+func (v *voter) apply(entries []quorum.Entry) {
+	s := v.state
+	for i := range entries {
+		s = v.applyEntry(s, &entries[i])
+	}
+	v.adopt(s)
+	v.replan = true
+	v.push()
+	if v.lead && v.ready {
+		v.runPlan()
+	}
+	if v.applied-v.compact >= v.compactAfter() {
+		v.makeSnapshot()
+	}
+}
+
+func (v *voter) compactAfter() uint64 {
+	if v.cfg.CompactAfter > 0 {
+		return v.cfg.CompactAfter
+	}
+	return DefaultCompactAfter
+}
+
+func (v *voter) applyEntry(s *state.State, e *quorum.Entry) *state.State {
+	v.applied = e.Index
+	for what, index := range v.pending {
+		if index != 0 && index <= e.Index {
+			delete(v.pending, what)
+		}
+	}
+	c := &pollenlatch.Command{Noop: &pollenlatch.Noop{Term: e.Term}}
+	if len(e.Data) > 0 {
+		c = new(pollenlatch.Command)
+		if err := pollenlatch.Decode(e.Data, c); err != nil {
+			// Every voter sees the same bytes, so every voter skips them.
+			v.logf("log entry not decoded", "index", e.Index, "err", err)
+			c = &pollenlatch.Command{Noop: &pollenlatch.Noop{Term: e.Term}}
+		}
+	}
+	at := pollenlatch.Version(e.Index)
+	v.tail.add(at, c, len(e.Data))
+	if c.Noop != nil {
+		return s.Advance(at)
+	}
+	next, result := s.Apply(at, c)
+	v.afterApply(c, result)
+	v.noteMoves(next, result.Changed)
+	return next
+}
+
+// afterApply does what the leader has to do once a command is committed.
+func (v *voter) afterApply(c *pollenlatch.Command, result state.Result) {
+	switch {
+	case c.Expire != nil:
+		v.granter.Forget(c.Expire.Instance, c.Expire.Lease)
+		if v.lead && !c.Expire.Graceful && result.Rejected == "" {
+			if _, ok := v.endedAt[c.Expire.Instance]; !ok {
+				v.endedAt[c.Expire.Instance] = v.now
+			}
+		}
+	case c.Join != nil && result.Rejected == "":
+		delete(v.endedAt, result.Instance)
+		if v.lead {
+			v.granter.Extend(result.Instance, result.Lease, v.now, v.cfg.Timing.Lease)
+		}
+	case c.Ticket != nil && result.Verdict != nil:
+		v.answer(document{c.Ticket.Number, c.Ticket.Text}, *result.Verdict)
+		if result.Verdict.Accepted && v.newest < result.Verdict.Version {
+			v.newest, v.behind = result.Verdict.Version, v.now
+			if v.lead && v.ready && len(c.Ticket.Spec.Voters) > 0 {
+				v.changeTo(c.Ticket.Spec.Voters)
+			}
+		}
+	}
+}
+
+func (v *voter) restore(snap quorum.Snapshot) {
+	s, err := state.Load(snap.Data)
+	if err != nil {
+		v.halted = true
+		v.do(Halt{Err: fmt.Errorf("snapshot at index %d: %w", snap.Index, err)})
+		return
+	}
+	v.applied, v.compact = snap.Index, snap.Index
+	v.tail.reset(pollenlatch.Version(snap.Index))
+	v.findMoves(s)
+	v.adopt(s.Advance(pollenlatch.Version(snap.Index)))
+}
+
+func (v *voter) makeSnapshot() {
+	b, err := v.state.Snapshot()
+	if err != nil {
+		v.logf("snapshot not made", "index", v.applied, "err", err)
+		return
+	}
+	v.compact = v.applied
+	v.step(quorum.Compact{Now: v.now, Index: v.applied, Data: b})
+}
+
+// proposeOnce proposes commands unless the same purpose is still in the log's
+// hands.
+func (v *voter) proposeOnce(what string, commands ...*pollenlatch.Command) {
+	if _, ok := v.pending[what]; ok || !v.lead || v.halted {
+		return
+	}
+	data := make([][]byte, 0, len(commands))
+	for _, c := range commands {
+		b, err := pollenlatch.Encode(c)
+		if err != nil {
+			v.logf("command not encoded", "for", what, "err", err)
+			return
+		}
+		data = append(data, b)
+	}
+	v.nextID++
+	v.proposed[v.nextID] = what
+	v.pending[what] = 0
+	v.step(quorum.Propose{Now: v.now, ID: v.nextID, Data: data})
+}
+
+// changeGroup carries on with a change of the group that a former leader began.
+func (v *voter) changeGroup() {
+	if want := v.state.Voters(); len(want) > 0 {
+		v.changeTo(want)
+	}
+}
+
+func (v *voter) changeTo(members []pollenlatch.Member) {
+	v.nextID++
+	v.step(quorum.Change{Now: v.now, ID: v.nextID, Members: members})
+}
+
+func (v *voter) onPropose(from string, p *pollenlatch.Propose) {
+	answer := func(verdict pollenlatch.Verdict) {
+		v.reply(from, &pollenlatch.Message{Decided: &pollenlatch.Decided{Seq: p.Seq, Verdict: verdict}})
+	}
+	if !v.canGrant() {
+		answer(pollenlatch.Verdict{Retry: true})
+		return
+	}
+	if verdict, ok := v.state.Decided(&p.Ticket); ok {
+		answer(verdict)
+		return
+	}
+	number, spec, err := ticket.Parse(p.Ticket.Text)
+	if err == nil && number != p.Ticket.Number {
+		err = fmt.Errorf("number: the document says %d, the request %d", number, p.Ticket.Number)
+	}
+	if err != nil {
+		answer(pollenlatch.Verdict{Number: p.Ticket.Number, Faults: ticket.Faults(err), Next: v.state.Next()})
+		return
+	}
+	t := p.Ticket
+	t.Spec = spec
+	t.Digest = xxhash.Sum64String(t.Text)
+	d := document{t.Number, t.Text}
+	v.waiters[d] = append(v.waiters[d], waiter{name: from, seq: p.Seq})
+	v.proposeOnce(fmt.Sprintf("ticket %d %s", t.Number, t.Text), &pollenlatch.Command{Ticket: &t})
+}
+
+// answer tells everyone who waits for the verdict on a document.
+func (v *voter) answer(d document, verdict pollenlatch.Verdict) {
+	for _, w := range v.waiters[d] {
+		v.reply(w.name, &pollenlatch.Message{Decided: &pollenlatch.Decided{Seq: w.seq, Verdict: verdict}})
+	}
+	delete(v.waiters, d)
+}
+
+func (v *voter) describe(a *Access) {
+	a.Voter = true
+	a.Leads = v.lead
+	a.Leader = v.leader
+	a.Term = v.term
+	a.Commit = v.applied
+}
--- a/message.go
+++ b/message.go
@@ -13,6 +13,7 @@
 	Quorum   []byte    `protobuf:"bytes,7,opt,name=quorum"` // encoded by package quorum
 	Records  *Records  `protobuf:"bytes,8,opt,name=records"`
 	Received *Received `protobuf:"bytes,9,opt,name=received"`
+	More     *More     `protobuf:"bytes,10,opt,name=more"`
 }
 
 // Renew asks the leader to extend a lease, or to create one when Lease is 0.
@@ -36,6 +37,7 @@
 	Version Version       `protobuf:"varint,4,opt,name=version"` // the leader's applied version
 	Refused Refusal       `protobuf:"varint,5,opt,name=refused"`
 	Leader  string        `protobuf:"bytes,6,opt,name=leader"` // address of the leader when Refused is NotLeader
+	Force   Version       `protobuf:"varint,7,opt,name=force"` // every daemon that may serve holds at least this version
 }
 
 // Refusal says why a lease was not extended.
@@ -69,6 +71,12 @@
 // session wait for little.
 const PieceBytes = 64 << 10
 
+// More asks for the piece of a snapshot at an offset.
+type More struct {
+	Version Version `protobuf:"varint,1,opt,name=version"`
+	Offset  uint64  `protobuf:"varint,2,opt,name=offset"` // bytes
+}
+
 // Propose asks the leader to decide on a ticket.
 type Propose struct {
 	Seq    uint64 `protobuf:"varint,1,opt,name=seq"`
--- a/state/load.go
+++ b/state/load.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 
-	"github.com/segmentio/encoding/proto"
-
 	"pollenlatch"
 )
 
@@ -24,9 +22,12 @@
 	return s, nil
 }
 
+// Check leaves the content to load, which builds the state step by step.
+func (*image) Check() error { return nil }
+
 func load(body []byte) (*State, error) {
 	var img image
-	if err := proto.Unmarshal(body, &img); err != nil {
+	if err := pollenlatch.Decode(body, &img); err != nil {
 		return nil, err
 	}
 	s := &State{version: img.Version, last: img.Last, voters: img.Voters}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -6,7 +6,6 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/segmentio/encoding/proto"
 
 	"pollenlatch"
 )
@@ -93,7 +92,7 @@
 	for n := s.tickets.first(); n <= s.tickets.last; n++ {
 		img.Records = append(img.Records, s.tickets.image(n))
 	}
-	b, err := proto.Marshal(&img)
+	b, err := pollenlatch.Encode(&img)
 	if err != nil {
 		return nil, &SnapshotError{Err: err}
 	}
--- a/wire.go
+++ b/wire.go
@@ -2,8 +2,7 @@
 
 import (
 	"fmt"
-
-	"github.com/segmentio/encoding/proto"
+	"reflect"
 )
 
 // Checker is a decoded value that can tell whether it is well formed.
@@ -23,18 +22,26 @@
 // Unwrap returns the cause.
 func (e *WireError) Unwrap() error { return e.Err }
 
-// Encode returns the protobuf encoding of v.
-func Encode(v any) ([]byte, error) {
-	b, err := proto.Marshal(v)
-	if err != nil {
-		return nil, &WireError{Type: fmt.Sprintf("%T", v), Err: err}
+// Encode returns the protobuf encoding of v, a pointer to a tagged struct.
+func Encode(v any) ([]byte, error) { return Append(nil, v) }
+
+// Append appends the protobuf encoding of v, a pointer to a tagged struct, to b.
+func Append(b []byte, v any) ([]byte, error) {
+	p := reflect.ValueOf(v)
+	if p.Kind() != reflect.Pointer || p.IsNil() || p.Elem().Kind() != reflect.Struct {
+		return nil, &WireError{Type: fmt.Sprintf("%T", v), Err: errNoStruct}
 	}
-	return b, nil
+	return messageOf(p.Type().Elem()).append(b, p.Elem()), nil
 }
 
-// Decode reads the protobuf encoding of v and checks the result.
+// Decode reads the protobuf encoding of v, a pointer to a tagged struct, and
+// checks the result. It adds to what v holds. v keeps no part of b.
 func Decode(b []byte, v Checker) error {
-	if err := proto.Unmarshal(b, v); err != nil {
+	p := reflect.ValueOf(v)
+	if p.Kind() != reflect.Pointer || p.IsNil() || p.Elem().Kind() != reflect.Struct {
+		return &WireError{Type: fmt.Sprintf("%T", v), Err: errNoStruct}
+	}
+	if err := messageOf(p.Type().Elem()).decode(b, p.Elem(), 0); err != nil {
 		return &WireError{Type: fmt.Sprintf("%T", v), Err: err}
 	}
 	if err := v.Check(); err != nil {
--- a/wire_test.go
+++ b/wire_test.go
@@ -42,3 +42,70 @@
 		})
 	}
 }
+
+// A codec that loses a field, or crashes on lists, would corrupt the log.
+func TestCodecKeepsEverything(t *testing.T) {
+	var items []AssignItem
+	for i := range 1000 {
+		items = append(items, AssignItem{
+			Shard: Shard{Service: "listing", Range: Range(i), Key: "k"}, To: 7, Expect: 1 << 40, NoRecords: i%2 == 0,
+		})
+	}
+	whole := Message{Delta: &Delta{From: 3, Commands: []Command{
+		{Assign: &Assign{Items: items}},
+		{Noop: &Noop{}},
+		{Ticket: &Ticket{Number: 1, Digest: 1<<63 + 1, At: -5, Spec: Spec{
+			Services: []Service{{Name: "a", Objectives: []Objective{{Class: Urgent, Availability: 0.999, Latency: -1}}}},
+			Remove:   []string{"x", "", "y"},
+		}}},
+	}}}
+	b, err := Encode(&whole)
+	require.NoError(t, err)
+	var got Message
+	require.NoError(t, Decode(b, &got))
+	require.Equal(t, whole, got)
+}
+
+// A decoder that crashes on what a stranger sends would stop the process.
+func FuzzDecode(f *testing.F) {
+	b, err := Encode(&Message{Renew: &Renew{Name: "a", Load: &Load{Hot: []HotKey{{Key: "k", Rate: 2}}}}})
+	require.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Message
+		if Decode(b, &m) != nil {
+			return
+		}
+		again, err := Encode(&m)
+		require.NoError(t, err)
+		var n Message
+		require.NoError(t, Decode(again, &n))
+		twice, err := Encode(&n) // bytes are compared, since NaN differs from itself
+		require.NoError(t, err)
+		require.Equal(t, again, twice)
+	})
+}
+
+func BenchmarkRequestHead(b *testing.B) {
+	h := RequestHead{
+		Service: "listing", Key: "lot-1", Caller: "mill", Kind: "view", Method: "GET", URI: "/listing/lot-1?x=1",
+		Header: []Header{{"Accept", "*/*"}, {"User-Agent", "bench"}, {"X-A", "1"}, {"X-B", "2"}}, Length: -1,
+		Shard: Shard{Service: "listing", Range: 17}, Fence: 1 << 30, Version: 1 << 31,
+	}
+	encoded, err := Encode(&h)
+	require.NoError(b, err)
+	b.Run("encode", func(b *testing.B) {
+		b.ReportAllocs()
+		var buf []byte
+		for b.Loop() {
+			buf, _ = Append(buf[:0], &h)
+		}
+	})
+	b.Run("decode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			var got RequestHead
+			_ = Decode(encoded, &got)
+		}
+	})
+}
