link: forward requests between daemons

Cause: an entry daemon sends a keyed request to the owner's daemon in one hop. Change: Forward and the accepting side. Bodies stream both ways within the stream's window; an answer is complete only with its end mark and stated length; heads and answers carry the exchange's number. Cancellations travel on a signal stream, so a full window does not hold them up. Only the dialling side closes a session, when no exchange is on it; the accepting side asks for it.

--- /dev/null
+++ b/link/data_test.go
@@ -0,0 +1,411 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+)
+
+// onlyReader hides Len, so that a body counts as one that arrives slowly.
+type onlyReader struct{ io.Reader }
+
+func request(body io.Reader, length int64) *pollenlatch.Request {
+	return &pollenlatch.Request{
+		RequestHead: pollenlatch.RequestHead{Service: "claims", Key: "k", Method: http.MethodPost, URI: "/", Length: length},
+		Deadline:    time.Now().Add(time.Hour),
+		Body:        body,
+	}
+}
+
+func response(body io.Reader, length int64) *pollenlatch.Response {
+	return &pollenlatch.Response{
+		ResponseHead: pollenlatch.ResponseHead{Status: http.StatusOK, Length: length},
+		Body:         io.NopCloser(body),
+	}
+}
+
+// pair returns a node and the address of another that runs h.
+func pair(tb testing.TB, h pollenlatch.HandlerFunc) (client, owner *Node, addr string) {
+	tb.Helper()
+	owner, addr = testNode(tb, "b", func(c *Config) { c.Requests = h })
+	client, _ = testNode(tb, "a", nil)
+	return client, owner, addr
+}
+
+func echo(_ context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+	if r.Body == nil {
+		return response(strings.NewReader(""), 0), nil
+	}
+	return response(r.Body, r.Length), nil
+}
+
+func requireFailure(t *testing.T, err error, o pollenlatch.Outcome, reason pollenlatch.Reason) {
+	t.Helper()
+	var f *pollenlatch.Failure
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, o, f.Outcome, f.Error())
+	require.Equal(t, reason, f.Reason, f.Error())
+}
+
+// A body that loses, repeats or reorders a chunk is another caller's data.
+func TestForwardBodies(t *testing.T) {
+	client, _, addr := pair(t, echo)
+	for _, size := range []int{0, 1, smallBody, smallBody + 1, maxChunk, 1 << 20} {
+		data := make([]byte, size)
+		for i := range data {
+			data[i] = byte(i * 7 >> 3)
+		}
+		for name, body := range map[string]io.Reader{
+			"at hand":  bytes.NewReader(data),
+			"arriving": onlyReader{bytes.NewReader(data)},
+		} {
+			for _, length := range []int64{int64(size), -1} {
+				t.Run(fmt.Sprintf("%d bytes %s, stated %d", size, name, length), func(t *testing.T) {
+					if s, ok := body.(io.Seeker); ok {
+						_, _ = s.Seek(0, io.SeekStart)
+					} else {
+						body = onlyReader{bytes.NewReader(data)}
+					}
+					w, err := client.Forward(t.Context(), addr, request(body, length))
+					require.NoError(t, err)
+					got, err := io.ReadAll(w.Body)
+					require.NoError(t, err)
+					require.True(t, bytes.Equal(data, got))
+					require.NoError(t, w.Body.Close())
+				})
+			}
+		}
+	}
+}
+
+// Answers that are mixed up between exchanges on one session go to the wrong caller.
+func TestForwardInterleaved(t *testing.T) {
+	client, _, addr := pair(t, echo)
+	var wg sync.WaitGroup
+	for i := range 64 {
+		wg.Go(func() {
+			for j := range 20 {
+				want := strings.Repeat(strconv.Itoa(i*1000+j)+" ", 1+j*400)
+				w, err := client.Forward(t.Context(), addr, request(strings.NewReader(want), int64(len(want))))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				got, err := io.ReadAll(w.Body)
+				if err != nil || string(got) != want {
+					t.Errorf("exchange %d.%d: %v", i, j, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// An outcome that changes on the way makes the router repeat what has run.
+func TestForwardFailures(t *testing.T) {
+	sent := &pollenlatch.Failure{Outcome: pollenlatch.NotRun, Reason: pollenlatch.WrongOwner, Detail: "d", Status: 503, After: 1}
+	client, _, addr := pair(t, func(_ context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+		if r.Key == "other" {
+			return nil, errors.New("x")
+		}
+		return nil, sent
+	})
+	for range 3 { // the stream is used again after a failure
+		_, err := client.Forward(t.Context(), addr, request(nil, 0))
+		require.Equal(t, sent, err)
+	}
+	t.Run("body not read", func(t *testing.T) {
+		_, err := client.Forward(t.Context(), addr, request(onlyReader{bytes.NewReader(make([]byte, 1<<20))}, 1<<20))
+		require.Equal(t, sent, err)
+	})
+	t.Run("error without outcome", func(t *testing.T) {
+		r := request(nil, 0)
+		r.Key = "other"
+		_, err := client.Forward(t.Context(), addr, r)
+		requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Broken)
+	})
+}
+
+// A failure before the head was sent is safe to repeat and must say so; the
+// same failure after it must not.
+func TestForwardNotRun(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		client, owner, addr := pair(t, echo)
+		require.NoError(t, owner.Close())
+		_, err := client.Forward(t.Context(), addr, request(nil, 0))
+		requireFailure(t, err, pollenlatch.NotRun, pollenlatch.Unreachable)
+	})
+	t.Run("session refused", func(t *testing.T) {
+		client, _ := testNode(t, "a", nil)
+		_, addr := testNode(t, "b", nil)
+		_, err := client.Forward(t.Context(), addr, request(nil, 0))
+		requireFailure(t, err, pollenlatch.NotRun, pollenlatch.Unreachable)
+	})
+	t.Run("deadline has passed", func(t *testing.T) {
+		client, _, addr := pair(t, echo)
+		r := request(nil, 0)
+		r.Deadline = time.Now().Add(-time.Second)
+		_, err := client.Forward(t.Context(), addr, r)
+		requireFailure(t, err, pollenlatch.NotRun, pollenlatch.Expired)
+	})
+	t.Run("sender is closed", func(t *testing.T) {
+		client, _, addr := pair(t, echo)
+		require.NoError(t, client.Close())
+		_, err := client.Forward(t.Context(), addr, request(nil, 0))
+		requireFailure(t, err, pollenlatch.NotRun, pollenlatch.Unreachable)
+	})
+}
+
+// fakeOwner accepts sessions for requests and runs script on each stream.
+func fakeOwner(t *testing.T, script func(y *yamux.Stream, r *bufio.Reader, number uint32)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n, _ := testNode(t, "b", func(c *Config) { c.Requests = pollenlatch.HandlerFunc(echo) })
+	var wg sync.WaitGroup
+	t.Cleanup(func() { _ = l.Close(); wg.Wait() })
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, mux, err := n.admit(c)
+			if err != nil {
+				continue
+			}
+			wg.Go(func() {
+				for {
+					y, err := mux.AcceptStream()
+					if err != nil {
+						return
+					}
+					if y.StreamID() == signalStream {
+						continue
+					}
+					wg.Go(func() {
+						r := bufio.NewReader(y)
+						_, b, err := readFrame(r, maxHead)
+						if err != nil {
+							return
+						}
+						number, _, _ := cutNumber(b)
+						script(y, r, number)
+						_ = y.Close()
+					})
+				}
+			})
+		}
+	})
+	return l.Addr().String()
+}
+
+func answerFrames(t *testing.T, number uint32, length int64, body string) []byte {
+	t.Helper()
+	b, err := pollenlatch.Encode(&pollenlatch.ResponseHead{Status: 200, Length: length})
+	require.NoError(t, err)
+	return appendFrame(appendNumbered(nil, kindAnswer, number, b), kindChunk, []byte(body))
+}
+
+// An answer that is cut short, or that belongs to another exchange, must never
+// reach the caller as a complete one.
+func TestForwardBadAnswers(t *testing.T) {
+	end := appendFrame(nil, kindEnd, []byte{keepStream})
+	for _, c := range []struct {
+		name string
+		out  func(number uint32) []byte
+	}{
+		{"no answer", func(uint32) []byte { return nil }},
+		{"cut in the head", func(n uint32) []byte { return answerFrames(t, n, 4, "body")[:7] }},
+		{"cut in the body", func(n uint32) []byte { b := answerFrames(t, n, 4, "body"); return b[:len(b)-1] }},
+		{"no end mark", func(n uint32) []byte { return answerFrames(t, n, 4, "body") }},
+		{"no end mark, length unknown", func(n uint32) []byte { return answerFrames(t, n, -1, "body") }},
+		{"shorter than stated", func(n uint32) []byte { return append(answerFrames(t, n, 5, "body"), end...) }},
+		{"longer than stated", func(n uint32) []byte { return append(answerFrames(t, n, 3, "body"), end...) }},
+		{"another exchange's answer", func(n uint32) []byte { return append(answerFrames(t, n+1, 4, "body"), end...) }},
+		{"body without head", func(uint32) []byte { return appendFrame(nil, kindChunk, []byte("body")) }},
+		{"failure without outcome", func(n uint32) []byte { return appendNumbered(nil, kindFailure, n, []byte{keepStream}) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr := fakeOwner(t, func(y *yamux.Stream, _ *bufio.Reader, number uint32) { _, _ = y.Write(c.out(number)) })
+			client, _ := testNode(t, "a", nil)
+			w, err := client.Forward(t.Context(), addr, request(nil, 0))
+			if err == nil {
+				_, err = io.ReadAll(w.Body)
+			}
+			requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Broken)
+		})
+	}
+}
+
+// An answer that arrives twice must not become the answer to the next request.
+func TestForwardDuplicateAnswer(t *testing.T) {
+	addr := fakeOwner(t, func(y *yamux.Stream, r *bufio.Reader, number uint32) {
+		once := append(answerFrames(t, number, 4, "body"), appendFrame(nil, kindEnd, []byte{keepStream})...)
+		_, _ = y.Write(append(once, once...))
+		_, _ = io.Copy(io.Discard, r)
+	})
+	client, _ := testNode(t, "a", nil)
+	w, err := client.Forward(t.Context(), addr, request(nil, 0))
+	require.NoError(t, err)
+	got, err := io.ReadAll(w.Body)
+	require.NoError(t, err)
+	require.Equal(t, "body", string(got))
+	_, err = client.Forward(t.Context(), addr, request(nil, 0))
+	requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Broken)
+}
+
+// The handler of a request that nobody waits for keeps a slot of the server
+// and, worse, its late answer may meet the stream's next exchange.
+func TestForwardCancel(t *testing.T) {
+	big := make([]byte, 1<<20) // more than a stream's window
+	for name, body := range map[string]io.Reader{"no body": nil, "body not read": onlyReader{bytes.NewReader(big)}} {
+		t.Run(name, func(t *testing.T) {
+			started := make(chan struct{})
+			ended := make(chan struct{})
+			client, _, addr := pair(t, func(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+				if r.Key == "next" {
+					return response(strings.NewReader("next"), 4), nil
+				}
+				close(started)
+				<-ctx.Done()
+				close(ended)
+				return response(strings.NewReader("late"), 4), nil
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { <-started; cancel() }()
+			_, err := client.Forward(ctx, addr, request(body, -1))
+			requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Cancelled)
+			<-ended
+			for range 50 {
+				r := request(nil, 0)
+				r.Key = "next"
+				w, err := client.Forward(t.Context(), addr, r)
+				require.NoError(t, err)
+				got, err := io.ReadAll(w.Body)
+				require.NoError(t, err)
+				require.Equal(t, "next", string(got))
+			}
+		})
+	}
+}
+
+// A caller that goes away in the middle of a download must stop it.
+func TestForwardCancelBody(t *testing.T) {
+	for _, way := range []string{"context", "close"} {
+		t.Run(way, func(t *testing.T) {
+			ended := make(chan struct{})
+			client, _, addr := pair(t, func(ctx context.Context, _ *pollenlatch.Request) (*pollenlatch.Response, error) {
+				pr, pw := io.Pipe()
+				_ = context.AfterFunc(ctx, func() { _ = pw.CloseWithError(ctx.Err()); close(ended) })
+				go func() { _, _ = pw.Write([]byte("part")) }()
+				return response(pr, -1), nil
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			w, err := client.Forward(ctx, addr, request(nil, 0))
+			require.NoError(t, err)
+			_, err = io.ReadFull(w.Body, make([]byte, 4))
+			require.NoError(t, err)
+			if way == "close" {
+				require.NoError(t, w.Body.Close())
+			} else {
+				cancel()
+			}
+			<-ended
+			_, err = io.ReadAll(w.Body)
+			require.Error(t, err)
+		})
+	}
+}
+
+// The outcome of a request whose owner is lost, or that runs into its deadline
+// there, is not known: to call it not run would let a charge be raised twice.
+func TestForwardUnknown(t *testing.T) {
+	t.Run("owner lost", func(t *testing.T) {
+		started := make(chan struct{})
+		client, owner, addr := pair(t, func(ctx context.Context, _ *pollenlatch.Request) (*pollenlatch.Response, error) {
+			close(started)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		go func() { <-started; _ = owner.Close() }()
+		_, err := client.Forward(t.Context(), addr, request(nil, 0))
+		requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Broken)
+		<-owner.Done()
+	})
+	t.Run("deadline", func(t *testing.T) {
+		client, _, addr := pair(t, func(ctx context.Context, _ *pollenlatch.Request) (*pollenlatch.Response, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		_, err := client.Forward(ctx, addr, request(nil, 0))
+		requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Expired)
+	})
+	t.Run("answer breaks off", func(t *testing.T) {
+		client, _, addr := pair(t, func(context.Context, *pollenlatch.Request) (*pollenlatch.Response, error) {
+			return response(io.MultiReader(strings.NewReader("part"), brokenReader{}), -1), nil
+		})
+		w, err := client.Forward(t.Context(), addr, request(nil, 0))
+		require.NoError(t, err)
+		_, err = io.ReadAll(w.Body)
+		requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Broken)
+	})
+	t.Run("answer shorter than stated", func(t *testing.T) {
+		client, _, addr := pair(t, func(context.Context, *pollenlatch.Request) (*pollenlatch.Response, error) {
+			return response(strings.NewReader("part"), 5), nil
+		})
+		w, err := client.Forward(t.Context(), addr, request(nil, 0))
+		if err == nil {
+			_, err = io.ReadAll(w.Body)
+		}
+		requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Broken)
+	})
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("broken") }
+
+// A caller's body that breaks off must not reach the handler as a whole one.
+func TestForwardBrokenRequest(t *testing.T) {
+	for name, body := range map[string]io.Reader{
+		"error":     io.MultiReader(strings.NewReader("part"), brokenReader{}),
+		"too short": onlyReader{strings.NewReader("part")},
+		"too long":  onlyReader{strings.NewReader("more than stated")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			read := make(chan error, 1)
+			client, _, addr := pair(t, func(_ context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+				_, err := io.ReadAll(r.Body)
+				read <- err
+				return nil, err
+			})
+			_, err := client.Forward(t.Context(), addr, request(body, 5))
+			require.Error(t, err)
+			client.reap(time.Now().Add(time.Hour))
+			select {
+			case err := <-read:
+				require.Error(t, err)
+			default: // the handler was not called
+			}
+		})
+	}
+}
--- /dev/null
+++ b/link/failure.go
@@ -0,0 +1,88 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"pollenlatch"
+)
+
+// failure is a pollenlatch.Failure on the wire.
+type failure struct {
+	Outcome pollenlatch.Outcome `protobuf:"varint,1,opt,name=outcome"`
+	Reason  pollenlatch.Reason  `protobuf:"bytes,2,opt,name=reason"`
+	Detail  string              `protobuf:"bytes,3,opt,name=detail"`
+	Status  int32               `protobuf:"varint,4,opt,name=status"`
+	After   int32               `protobuf:"varint,5,opt,name=after"` // seconds
+}
+
+// Check reports an outcome or status that no failure has.
+func (f *failure) Check() error {
+	if f.Outcome != pollenlatch.NotRun && f.Outcome != pollenlatch.Unknown {
+		return fmt.Errorf("failure with outcome %v", f.Outcome)
+	}
+	if f.Status < http.StatusBadRequest || f.Status > 599 {
+		return fmt.Errorf("failure with status %d", f.Status)
+	}
+	return nil
+}
+
+// toWire converts the error of a handler. An error of another type says
+// nothing about the request, so its outcome is unknown.
+func toWire(err error) *failure {
+	var f *pollenlatch.Failure
+	if !errors.As(err, &f) {
+		f = broken("handler: %v", err)
+	}
+	w := &failure{Outcome: f.Outcome, Reason: f.Reason, Detail: f.Detail, Status: int32(f.Status), After: int32(f.After)}
+	if w.Check() != nil {
+		w.Outcome, w.Status = pollenlatch.Unknown, http.StatusBadGateway
+	}
+	return w
+}
+
+func (f *failure) fromWire() *pollenlatch.Failure {
+	return &pollenlatch.Failure{Outcome: f.Outcome, Reason: f.Reason, Detail: f.Detail, Status: int(f.Status), After: int(f.After)}
+}
+
+// retryAfter is what a caller is told to wait, in seconds, when another
+// attempt may help at once. The header knows no shorter time.
+const retryAfter = 1
+
+func unreachable(format string, args ...any) *pollenlatch.Failure {
+	return &pollenlatch.Failure{
+		Outcome: pollenlatch.NotRun,
+		Reason:  pollenlatch.Unreachable,
+		Detail:  fmt.Sprintf(format, args...),
+		Status:  http.StatusServiceUnavailable,
+		After:   retryAfter,
+	}
+}
+
+func broken(format string, args ...any) *pollenlatch.Failure {
+	return &pollenlatch.Failure{
+		Outcome: pollenlatch.Unknown,
+		Reason:  pollenlatch.Broken,
+		Detail:  fmt.Sprintf(format, args...),
+		Status:  http.StatusBadGateway,
+	}
+}
+
+// ended returns the failure of a request whose context ended with err. sent
+// says whether a byte of the head may have left this process.
+func ended(err error, sent bool) *pollenlatch.Failure {
+	f := &pollenlatch.Failure{Outcome: pollenlatch.NotRun, Reason: pollenlatch.Cancelled, Status: http.StatusServiceUnavailable}
+	if errors.Is(err, context.DeadlineExceeded) {
+		f.Reason, f.Status = pollenlatch.Expired, http.StatusGatewayTimeout
+	}
+	if sent {
+		f.Outcome = pollenlatch.Unknown
+		if f.Reason == pollenlatch.Cancelled {
+			f.Status = http.StatusBadGateway
+		}
+	}
+	f.Detail = "the request ended before its answer"
+	return f
+}
--- a/link/frame.go
+++ b/link/frame.go
@@ -44,6 +44,36 @@
 	return append(b, payload...)
 }
 
+// numberBytes is the length of the exchange's number on its stream, which
+// precedes the content of heads, answers and failures. An answer that comes
+// late or twice has another number than the exchange that reads it.
+const numberBytes = 4
+
+// appendNumbered appends a frame of the exchange with the number.
+func appendNumbered(b []byte, k kind, number uint32, payload []byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(numberBytes+len(payload)))
+	b = append(b, byte(k))
+	b = binary.BigEndian.AppendUint32(b, number)
+	return append(b, payload...)
+}
+
+// cutNumber splits the payload of a numbered frame.
+func cutNumber(b []byte) (number uint32, payload []byte, err error) {
+	if len(b) < numberBytes {
+		return 0, nil, errFrame
+	}
+	return binary.BigEndian.Uint32(b), b[numberBytes:], nil
+}
+
+// putHeader sets the header of a frame with n bytes of payload.
+func putHeader(b []byte, k kind, n int) {
+	putLength(b, n)
+	b[4] = byte(k)
+}
+
+// putLength sets the length of a frame whose payload was filled in later.
+func putLength(b []byte, n int) { binary.BigEndian.PutUint32(b, uint32(n)) }
+
 // readHeader reads the header of a frame. Its error is io.EOF only between
 // frames.
 func readHeader(r *bufio.Reader) (kind, int, error) {
--- a/link/hello.go
+++ b/link/hello.go
@@ -147,6 +147,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := n.refuses(other.Purpose); err != nil {
+		return nil, err
+	}
 	own.Purpose = other.Purpose
 	if err := writeHello(c, own); err != nil {
 		return nil, err
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -80,6 +80,7 @@
 	a, b := net.Pipe()
 	d := &Node{cfg: dial.withDefaults()}
 	s := &Node{cfg: accept.withDefaults()}
+	s.cfg.Requests = pollenlatch.HandlerFunc(nil)
 	done := make(chan error, 1)
 	go func() {
 		h, err := s.handshake(b, false, 0)
--- a/link/node.go
+++ b/link/node.go
@@ -123,6 +123,11 @@
 	listeners []net.Listener
 	peers     map[string]*peer         // control, by dialled address
 	control   map[*ctlSession]struct{} // control sessions, dialled and accepted
+	accepted  map[*inSession]struct{}  // sessions for requests
+	draining  bool                     // accepts no session for requests
+
+	pool        pool // dialled sessions for requests
+	idleStreams int
 }
 
 // New returns a node that neither listens nor has connections. Close ends it.
@@ -139,6 +144,10 @@
 		slots:   make(chan struct{}, handshakes),
 		peers:   make(map[string]*peer),
 		control: make(map[*ctlSession]struct{}),
+
+		accepted:    make(map[*inSession]struct{}),
+		pool:        pool{sessions: make(map[string]*dataSession)},
+		idleStreams: idleStreams,
 	}
 	n.spawn(n.janitor)
 	return n, nil
@@ -241,13 +250,27 @@
 		klog.V(1).Infof("link from %s refused: %v", c.RemoteAddr(), err)
 		return
 	}
-	switch {
-	case h.Purpose == forControl && n.cfg.Control != nil:
+	if h.Purpose == forControl {
 		n.serveControl(s, h)
-	case h.Purpose == forData && n.cfg.Requests != nil:
-		n.serveData(s, h)
+		return
+	}
+	n.serveData(s, h)
+}
+
+// refuses reports why no session for p is accepted. It is asked before this
+// side proves itself, so that the dialling side has sent no request yet.
+func (n *Node) refuses(p purpose) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case p == forControl && n.cfg.Control == nil, p == forData && n.cfg.Requests == nil:
+		return errors.New("this node serves no such sessions")
+	case p == forData && n.draining:
+		return errors.New("this node is draining")
+	case p == forData && len(n.accepted) >= hardCap*n.cfg.Sessions:
+		return fmt.Errorf("%d sessions are open", len(n.accepted))
 	default:
-		_ = s.Close()
+		return nil
 	}
 }
 
@@ -309,6 +332,44 @@
 // reap closes the sessions that have been idle for long enough at now.
 func (n *Node) reap(now time.Time) {
 	n.reapControl(now)
+	n.reapData(now)
+}
+
+// Drain lets the daemons that have sessions for requests open no new exchange
+// on them, accepts no further ones, and waits until the requests that run have
+// been answered. Control sessions go on.
+func (n *Node) Drain(ctx context.Context) error {
+	n.mu.Lock()
+	n.draining = true
+	n.mu.Unlock()
+	for {
+		s := n.anyAccepted()
+		if s == nil {
+			return nil
+		}
+		select {
+		case <-s.left:
+		case <-ctx.Done():
+			return fmt.Errorf("drain links: %w", ctx.Err())
+		}
+	}
+}
+
+// anyAccepted asks all accepted sessions to end and returns one of them.
+func (n *Node) anyAccepted() *inSession {
+	n.mu.Lock()
+	open := make([]*inSession, 0, len(n.accepted))
+	for s := range n.accepted {
+		open = append(open, s)
+	}
+	n.mu.Unlock()
+	for _, s := range open {
+		s.askDrain()
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	return open[0]
 }
 
 // Close ends all connections and waits for the node's goroutines, also for
@@ -329,10 +390,17 @@
 	for s := range n.control {
 		open = append(open, s)
 	}
+	in := make([]*inSession, 0, len(n.accepted))
+	for s := range n.accepted {
+		in = append(in, s)
+	}
 	n.mu.Unlock()
 	for _, s := range open {
 		s.close()
 	}
+	for _, s := range in {
+		_ = s.mux.Close()
+	}
 	n.wg.Wait()
 	close(n.done)
 	return nil
--- /dev/null
+++ b/link/pool_test.go
@@ -0,0 +1,143 @@
+package link
+
+import (
+	"context"
+	"io"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+)
+
+func exchangeOnce(t *testing.T, n *Node, addr string) {
+	t.Helper()
+	w, err := n.Forward(t.Context(), addr, request(nil, 0))
+	require.NoError(t, err)
+	_, err = io.ReadAll(w.Body)
+	require.NoError(t, err)
+}
+
+func (n *Node) dialled() map[string]bool {
+	n.pool.mu.Lock()
+	defer n.pool.mu.Unlock()
+	m := make(map[string]bool)
+	for addr := range n.pool.sessions {
+		m[addr] = true
+	}
+	return m
+}
+
+// Sessions without a cap exhaust the memory of a daemon that talks to all others.
+func TestSessionCap(t *testing.T) {
+	client, _ := testNode(t, "a", func(c *Config) { c.Sessions = 2 })
+	release := make(chan struct{})
+	started := make(chan struct{}, 2)
+	var addrs []string
+	for range 3 {
+		_, addr := testNode(t, "b", func(c *Config) {
+			c.Requests = pollenlatch.HandlerFunc(func(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+				if r.Key == "wait" {
+					started <- struct{}{}
+					<-release
+				}
+				return echo(ctx, r)
+			})
+		})
+		addrs = append(addrs, addr)
+		exchangeOnce(t, client, addr)
+	}
+	require.Equal(t, map[string]bool{addrs[1]: true, addrs[2]: true}, client.dialled(), "the least recently used one is closed")
+
+	done := make(chan error, 2)
+	for _, addr := range addrs[1:] {
+		go func() {
+			r := request(nil, 0)
+			r.Key = "wait"
+			_, err := client.Forward(t.Context(), addr, r)
+			done <- err
+		}()
+		<-started
+	}
+	_, err := client.Forward(t.Context(), addrs[0], request(nil, 0))
+	requireFailure(t, err, pollenlatch.NotRun, pollenlatch.Unreachable)
+	close(release)
+	require.NoError(t, <-done)
+	require.NoError(t, <-done)
+}
+
+// A session that nothing uses costs memory; one that is in use must stay.
+func TestIdleSessionCloses(t *testing.T) {
+	client, _, addr := pair(t, echo)
+	exchangeOnce(t, client, addr)
+	client.reap(time.Now().Add(client.cfg.Idle / 2))
+	require.Len(t, client.dialled(), 1)
+	w, err := client.Forward(t.Context(), addr, request(nil, 0))
+	require.NoError(t, err)
+	client.reap(time.Now().Add(client.cfg.Idle * 2))
+	require.Len(t, client.dialled(), 1)
+	_, err = io.ReadAll(w.Body)
+	require.NoError(t, err)
+	client.reap(time.Now().Add(client.cfg.Idle * 2))
+	require.Empty(t, client.dialled())
+	exchangeOnce(t, client, addr)
+}
+
+// A graceful stop must let running requests end and turn the next ones away
+// before they are sent, so that they can be repeated elsewhere.
+func TestDrain(t *testing.T) {
+	started := make(chan struct{})
+	release := make(chan struct{})
+	client, owner, addr := pair(t, func(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+		close(started)
+		<-release
+		return echo(ctx, r)
+	})
+	done := make(chan error, 2)
+	go func() {
+		w, err := client.Forward(t.Context(), addr, request(nil, 0))
+		if err == nil {
+			_, err = io.ReadAll(w.Body)
+		}
+		done <- err
+	}()
+	<-started
+	go func() { done <- owner.Drain(t.Context()) }()
+	for len(client.dialled()) != 0 { // until the signal has arrived
+		runtime.Gosched()
+	}
+	_, err := client.Forward(t.Context(), addr, request(nil, 0))
+	requireFailure(t, err, pollenlatch.NotRun, pollenlatch.Unreachable)
+	close(release)
+	require.NoError(t, <-done)
+	require.NoError(t, <-done)
+}
+
+// Requests that meet the closing of an idle session must not fail: neither
+// side may close it under an exchange that the other has begun.
+func TestCloseRace(t *testing.T) {
+	client, owner, addr := pair(t, echo)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			client.reap(time.Now().Add(time.Hour))
+			if s := owner.anyAccepted(); s != nil && i%2 == 0 {
+				s.askDrain()
+			}
+		}
+	}()
+	for range 300 {
+		exchangeOnce(t, client, addr)
+	}
+	close(stop)
+	<-done
+}
