front: add the callers' server and the router

Cause: callers send plain HTTP to any daemon; requests go to the owner's. Change: Server parses and bounds requests, answers with outcome, status and Retry-After, and breaks off the connection when an answer is cut short. Router aims by shard or asks the picker, waits while a shard has no owner, and repeats after a proven not-run (or a safe request) within pick.Budget. Root package: Service.Once, Service.Safe and the reason ServerError.

--- /dev/null
+++ b/front/answer.go
@@ -0,0 +1,182 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"log"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pollenlatch"
+)
+
+// answer is one answer to a caller, and what is recorded of it.
+type answer struct {
+	server  *Server
+	writer  http.ResponseWriter
+	request *pollenlatch.Request // nil when it could not be parsed
+	method  string
+	start   time.Time
+
+	outcome  pollenlatch.Outcome
+	reason   pollenlatch.Reason
+	endpoint string
+}
+
+// document is the JSON body of an answer of ours.
+type document struct {
+	Outcome string `json:"outcome"`
+	*pollenlatch.Failure
+}
+
+// fail answers with a failure.
+func (a *answer) fail(f *pollenlatch.Failure) {
+	a.outcome, a.reason = f.Outcome, f.Reason
+	b, err := json.Marshal(document{f.Outcome.String(), f})
+	if err != nil {
+		klog.Errorf("encode a failure: %v", err)
+	}
+	h := a.writer.Header()
+	h.Set(headerOutcome, f.Outcome.String())
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	h.Set("Cache-Control", "no-store")
+	if f.After > 0 {
+		h.Set("Retry-After", strconv.Itoa(f.After))
+	}
+	a.writeDeadline()
+	a.writer.WriteHeader(f.Status)
+	_, _ = a.writer.Write(b)
+}
+
+func (a *answer) writeDeadline() {
+	_ = http.NewResponseController(a.writer).SetWriteDeadline(time.Now().Add(a.server.cfg.Stall))
+}
+
+// copyBytes is the size of the buffers between an answer and its caller.
+const copyBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBytes)
+	return &b
+}}
+
+// send passes the server's answer on. cancel abandons the request.
+func (a *answer) send(w *pollenlatch.Response, cancel func()) {
+	defer func() { _ = w.Body.Close() }()
+	a.endpoint = w.Owner
+	if w.Status < http.StatusOK || w.Status > 999 {
+		a.fail(asFailure(errors.New("the server answered with status " + strconv.Itoa(int(w.Status)))))
+		return
+	}
+	// An answer that stands still is given up, so that neither a server nor a
+	// caller holds a connection for good.
+	stall := time.AfterFunc(a.server.cfg.Stall, cancel)
+	defer stall.Stop()
+	p := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(p)
+	b := *p
+	n, err := w.Body.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		a.fail(asFailure(err)) // nothing of the answer has left yet
+		return
+	}
+	a.head(w)
+	rc := http.NewResponseController(a.writer)
+	for {
+		stall.Reset(a.server.cfg.Stall)
+		if n > 0 {
+			a.writeDeadline()
+			if _, err := a.writer.Write(b[:n]); err != nil {
+				a.abort(pollenlatch.Cancelled)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			a.abort(pollenlatch.Broken)
+		}
+		if w.Length < 0 && n > 0 && rc.Flush() != nil {
+			a.abort(pollenlatch.Cancelled)
+		}
+		n, err = w.Body.Read(b)
+	}
+	a.outcome = pollenlatch.Ran
+	if w.Status >= http.StatusInternalServerError {
+		a.reason = pollenlatch.ServerError
+	}
+}
+
+// head writes the head of the server's answer.
+func (a *answer) head(w *pollenlatch.Response) {
+	h := a.writer.Header()
+	for _, x := range w.Header {
+		name := http.CanonicalHeaderKey(x.Name)
+		if !hopHeaders[name] && !strings.HasPrefix(name, ownPrefix) {
+			h[name] = append(h[name], x.Value)
+		}
+	}
+	if w.Length >= 0 && bodyAllowed(w.Status) {
+		h.Set("Content-Length", strconv.FormatInt(w.Length, 10))
+	}
+	if w.Owner != "" {
+		h.Set(headerOwner, w.Owner)
+	}
+	a.writeDeadline()
+	a.writer.WriteHeader(int(w.Status))
+}
+
+func bodyAllowed(status int32) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// abort ends the connection in the middle of an answer, so that the caller
+// does not take it for a complete one.
+func (a *answer) abort(r pollenlatch.Reason) {
+	a.outcome, a.reason = pollenlatch.Unknown, r
+	panic(http.ErrAbortHandler)
+}
+
+// unblock ends a read of the body that an abandoned attempt still waits in:
+// net/http waits for it before it ends the request.
+func (a *answer) unblock(body *replay) {
+	if body != nil && !body.ended.Load() {
+		_ = http.NewResponseController(a.writer).SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// record counts the answer.
+func (a *answer) record() {
+	if a.outcome == 0 { // a handler panicked
+		a.outcome, a.reason = pollenlatch.Unknown, pollenlatch.Broken
+	}
+	took := time.Since(a.start)
+	name, class := "", pollenlatch.Routine
+	if q := a.request; q != nil {
+		if s, ok := a.server.cfg.Control.View().Service(q.Service); ok {
+			name, class = s.Name, s.ClassOf(q.Caller, q.Kind)
+		}
+	}
+	a.server.meter.answer(name, a.outcome, a.reason, took)
+	if r := a.server.cfg.Recorder; r != nil {
+		r.Record(name, class, a.outcome, a.reason, a.endpoint, took)
+	}
+}
+
+// errorWriter passes net/http's own log lines on. They tell of connections
+// that broke, which is ordinary.
+type errorWriter struct{}
+
+func (errorWriter) Write(b []byte) (int, error) {
+	klog.V(2).Infof("callers: %s", strings.TrimSpace(string(b)))
+	return len(b), nil
+}
+
+func newErrorLog() *log.Logger { return log.New(errorWriter{}, "", 0) }
--- /dev/null
+++ b/front/router.go
@@ -0,0 +1,371 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"pollenlatch"
+	"pollenlatch/pick"
+)
+
+const (
+	retryFirst = 5 * time.Millisecond
+	retryMost  = 200 * time.Millisecond
+	// retryLimit bounds the attempts of one request; with the waits between
+	// them they span more than the second in which a lost owner is replaced.
+	retryLimit = 12
+	retryAfter = 1 // seconds that a caller is told to wait
+)
+
+// RouterConfig is what a router is made of.
+type RouterConfig struct {
+	Control pollenlatch.Control
+	Local   pollenlatch.Handler // runs requests at the server beside this daemon
+	Forward pollenlatch.Forwarder
+	Picker  pollenlatch.Picker
+	Budget  *pick.Budget // nil uses the defaults
+	Clock   pollenlatch.Clock
+	DC      string // of this instance
+	Retried func() // called for each retry; may be nil
+}
+
+// Router sends each request to the daemon beside the server that is to run it.
+// It implements pollenlatch.Handler.
+type Router struct {
+	cfg RouterConfig
+}
+
+// NewRouter returns a router. Control, Local, Forward and Picker must be set.
+func NewRouter(cfg RouterConfig) *Router {
+	if cfg.Budget == nil {
+		cfg.Budget = new(pick.Budget)
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = pollenlatch.System{}
+	}
+	if cfg.Retried == nil {
+		cfg.Retried = func() {}
+	}
+	return &Router{cfg: cfg}
+}
+
+// route is one request on its way through the router.
+type route struct {
+	*Router
+	request *pollenlatch.Request
+	body    rewinder // nil when there is none
+	tried   pollenlatch.Set[pollenlatch.InstanceID]
+	waits   *backoff.ExponentialBackOff
+	count   int
+	unsure  bool   // an earlier attempt may have run
+	target  target // of the last attempt
+}
+
+// target is where one attempt goes.
+type target struct {
+	instance pollenlatch.Instance
+	owner    pollenlatch.Owner // zero when the request is not routed by shard
+	version  pollenlatch.Version
+	safe     bool
+	done     func(pollenlatch.Outcome, pollenlatch.Reason, time.Duration) // nil with an owner
+}
+
+// Handle implements pollenlatch.Handler.
+func (rt *Router) Handle(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+	x := &route{Router: rt, request: r}
+	switch b := r.Body.(type) {
+	case nil:
+	case rewinder:
+		x.body = b
+	default:
+		x.body = newReplay(b)
+	}
+	rt.cfg.Budget.Request()
+	for {
+		f := x.find(ctx)
+		if f != nil {
+			return nil, x.final(f)
+		}
+		w, f := x.try(ctx)
+		if f == nil {
+			return w, nil
+		}
+		if !x.again(ctx, f) {
+			return nil, x.final(f)
+		}
+	}
+}
+
+// final returns the failure that the caller is told. When an earlier attempt
+// may have run, the request was not proven not to run.
+func (x *route) final(f *pollenlatch.Failure) *pollenlatch.Failure {
+	if !x.unsure || f.Outcome != pollenlatch.NotRun {
+		return f
+	}
+	g := *f
+	g.Outcome = pollenlatch.Unknown
+	g.Detail = "an earlier attempt may have run; then: " + f.Detail
+	if g.Status != http.StatusGatewayTimeout {
+		g.Status = http.StatusBadGateway
+	}
+	return &g
+}
+
+// find chooses the target of the next attempt. It waits until the deadline
+// while nobody may run the request.
+func (x *route) find(ctx context.Context) *pollenlatch.Failure {
+	for {
+		changed := x.cfg.Control.Changed()
+		if err := x.cfg.Control.Serving(); err != nil {
+			return asFailure(err)
+		}
+		v := x.cfg.Control.View()
+		s, ok := v.Service(x.request.Service)
+		if !ok {
+			return failed(pollenlatch.NoService, http.StatusNotFound, "no service %q", x.request.Service)
+		}
+		x.target = target{version: v.Version(), safe: s.Safe(x.request.Method, x.request.Kind)}
+		reason, f := x.aim(v, s)
+		if f != nil || reason == "" {
+			return f
+		}
+		f = failed(reason, http.StatusServiceUnavailable, "no server for the request until its deadline")
+		f.After = retryAfter
+		if !waitChange(ctx, changed, time.Until(x.request.Deadline)) {
+			if err := ctx.Err(); err != nil && time.Now().Before(x.request.Deadline) {
+				return failed(pollenlatch.Cancelled, http.StatusServiceUnavailable, "the caller went away")
+			}
+			return f
+		}
+	}
+}
+
+// aim sets the target, or tells why there is none at present.
+func (x *route) aim(v pollenlatch.View, s pollenlatch.Service) (pollenlatch.Reason, *pollenlatch.Failure) {
+	key := x.request.Key
+	switch {
+	case s.Keyed && key == "":
+		return "", failed(pollenlatch.BadRequest, http.StatusBadRequest, "service %q is divided by key and the request has none", s.Name)
+	case !s.Keyed && x.request.Idempotency == "":
+		return x.choose(v, s)
+	case !s.Keyed:
+		key = x.request.Idempotency
+	}
+	o, ok := v.Owner(s.Name, key)
+	if !ok || o.Instance == 0 || o.Frozen() {
+		return pollenlatch.NoOwner, nil
+	}
+	if x.target.instance, ok = v.Instance(o.Instance); !ok {
+		return pollenlatch.NoOwner, nil
+	}
+	x.target.owner = o
+	return "", nil
+}
+
+// choose picks an endpoint for a request that is not routed by shard. When all
+// have been tried, all may be tried again.
+func (x *route) choose(v pollenlatch.View, s pollenlatch.Service) (pollenlatch.Reason, *pollenlatch.Failure) {
+	all := v.Endpoints(s.Name)
+	usable := make([]pollenlatch.Instance, 0, len(all))
+	for _, i := range all {
+		if i.Usable() && (len(s.DCs) == 0 || slices.Contains(s.DCs, i.DC)) {
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) == 0 {
+		return pollenlatch.NoEndpoint, nil
+	}
+	i, done, ok := x.cfg.Picker.Pick(usable, x.cfg.DC, x.tried)
+	if !ok && len(x.tried) > 0 {
+		x.tried = nil
+		i, done, ok = x.cfg.Picker.Pick(usable, x.cfg.DC, nil)
+	}
+	if !ok {
+		return pollenlatch.NoEndpoint, nil
+	}
+	x.target.instance, x.target.done = i, done
+	return "", nil
+}
+
+// try makes one attempt.
+func (x *route) try(ctx context.Context) (*pollenlatch.Response, *pollenlatch.Failure) {
+	t := x.target
+	q := *x.request
+	q.Version, q.Shard, q.Fence, q.Safe = t.version, t.owner.Shard, t.owner.Fence, t.safe
+	start := time.Now()
+	if x.body != nil {
+		if q.Body = x.body.rewind(); q.Body == nil {
+			return nil, x.report(failed(pollenlatch.Broken, http.StatusServiceUnavailable, "%v", errReplay), start)
+		}
+	}
+	x.count++
+	var w *pollenlatch.Response
+	var err error
+	if t.instance.ID == x.cfg.Control.Self() {
+		w, err = x.cfg.Local.Handle(ctx, &q)
+	} else {
+		w, err = x.cfg.Forward.Forward(ctx, t.instance.Addr, &q)
+	}
+	if err != nil {
+		return nil, x.report(asFailure(err), start)
+	}
+	if w.Owner == "" {
+		w.Owner = t.instance.Front
+	}
+	if t.done != nil {
+		w.Body = &watched{ReadCloser: w.Body, done: t.done, took: time.Since(start)}
+	}
+	return w, nil
+}
+
+// report tells the picker of a failed attempt.
+func (x *route) report(f *pollenlatch.Failure, start time.Time) *pollenlatch.Failure {
+	x.unsure = x.unsure || f.Outcome == pollenlatch.Unknown
+	if done := x.target.done; done != nil {
+		done(f.Outcome, f.Reason, time.Since(start))
+		x.tried = x.tried.With(x.target.instance.ID)
+	}
+	return f
+}
+
+// watched reports the end of an answer to the picker.
+type watched struct {
+	io.ReadCloser
+	done func(pollenlatch.Outcome, pollenlatch.Reason, time.Duration)
+	took time.Duration // until the head of the answer
+}
+
+// Read implements io.Reader.
+func (b *watched) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.end(pollenlatch.Ran, "")
+	case err != nil:
+		b.end(pollenlatch.Unknown, pollenlatch.Broken)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *watched) Close() error {
+	b.end(pollenlatch.Unknown, pollenlatch.Cancelled)
+	return b.ReadCloser.Close()
+}
+
+func (b *watched) end(o pollenlatch.Outcome, r pollenlatch.Reason) {
+	if b.done != nil {
+		b.done(o, r, b.took)
+		b.done = nil
+	}
+}
+
+// again reports whether the request may be tried once more after f, and waits
+// before that.
+func (x *route) again(ctx context.Context, f *pollenlatch.Failure) bool {
+	if !x.repeatable(f) || x.count >= retryLimit || ctx.Err() != nil {
+		return false
+	}
+	if x.body != nil && x.body.gone() {
+		return false
+	}
+	if x.waits == nil {
+		x.waits = backoff.NewExponentialBackOff()
+		x.waits.InitialInterval, x.waits.MaxInterval, x.waits.Multiplier = retryFirst, retryMost, 2
+	}
+	wait := x.waits.NextBackOff()
+	if time.Until(x.request.Deadline) <= wait {
+		return false
+	}
+	if !x.cfg.Budget.Retry(x.cfg.Clock.Now()) {
+		return false
+	}
+	x.cfg.Retried()
+	return x.pause(ctx, wait)
+}
+
+// repeatable is the last column of the outcome table.
+func (x *route) repeatable(f *pollenlatch.Failure) bool {
+	switch f.Outcome {
+	case pollenlatch.NotRun:
+		switch f.Reason {
+		case pollenlatch.Unreachable, pollenlatch.WrongOwner, pollenlatch.Versions, pollenlatch.QueueFull,
+			pollenlatch.Draining, pollenlatch.Refused, pollenlatch.NoLease, pollenlatch.NoEndpoint:
+			return true
+		default:
+			return false
+		}
+	case pollenlatch.Unknown:
+		return x.target.safe && f.Reason == pollenlatch.Broken
+	default:
+		return false
+	}
+}
+
+// pause waits for d, or until another instance owns the shard or owns it with
+// another fence.
+func (x *route) pause(ctx context.Context, d time.Duration) bool {
+	until := time.Now().Add(d)
+	for {
+		changed := x.cfg.Control.Changed()
+		if o := x.target.owner; o.Instance != 0 {
+			now, ok := x.cfg.Control.View().OwnerAt(o.Shard)
+			if !ok || now.Instance != o.Instance || now.Fence != o.Fence || now.Frozen() {
+				return ctx.Err() == nil
+			}
+		}
+		if !waitChange(ctx, changed, time.Until(until)) {
+			return ctx.Err() == nil
+		}
+	}
+}
+
+// waitChange waits for a change, at most for d. It reports false when there
+// was none.
+func waitChange(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	if d <= 0 {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// failed returns a failure of a request that was not run.
+func failed(reason pollenlatch.Reason, status int, format string, args ...any) *pollenlatch.Failure {
+	return &pollenlatch.Failure{
+		Outcome: pollenlatch.NotRun,
+		Reason:  reason,
+		Detail:  fmt.Sprintf(format, args...),
+		Status:  status,
+	}
+}
+
+// asFailure returns err as a failure. Handlers return no other errors; one
+// that does says nothing about the request.
+func asFailure(err error) *pollenlatch.Failure {
+	var f *pollenlatch.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &pollenlatch.Failure{
+		Outcome: pollenlatch.Unknown,
+		Reason:  pollenlatch.Broken,
+		Detail:  err.Error(),
+		Status:  http.StatusBadGateway,
+	}
+}
--- /dev/null
+++ b/front/server.go
@@ -0,0 +1,187 @@
+// Package front is the callers' side of a daemon: an HTTP server, and the
+// router that sends each request to the daemon beside its server.
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"pollenlatch"
+)
+
+// Defaults of Config.
+const (
+	DefaultTimeout       = 5 * time.Second
+	DefaultMaxTimeout    = time.Minute
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultIdle          = time.Minute
+	DefaultStall         = 10 * time.Second
+	DefaultMaxHeader     = 32 << 10
+	DefaultMaxBody       = 64 << 20
+	DefaultMaxConns      = 10_000
+)
+
+// ErrConfig says that a setting of the front is wrong.
+var ErrConfig = errors.New("front settings")
+
+// Config is what a Server is made of. Zero durations and numbers stand for the
+// defaults.
+type Config struct {
+	Control  pollenlatch.Control
+	Handler  pollenlatch.Handler  // usually a Router
+	Recorder pollenlatch.Recorder // may be nil
+	Metrics  *metrics.Set         // nil keeps the figures to itself
+	Front    string               // this daemon's address for callers
+
+	Timeout       time.Duration // of a request whose caller names none
+	MaxTimeout    time.Duration // longest that a caller gets
+	HeaderTimeout time.Duration // longest time to receive a head
+	Idle          time.Duration // longest wait for the next request on a connection
+	Stall         time.Duration // longest time without a byte of an answer moving
+	MaxHeader     int           // bytes of a head
+	MaxBody       int64         // bytes of a body
+	MaxConns      int           // connections; callers above it are told to go elsewhere
+}
+
+func (c Config) withDefaults() Config {
+	for _, v := range []struct {
+		d *time.Duration
+		n time.Duration
+	}{
+		{&c.Timeout, DefaultTimeout},
+		{&c.MaxTimeout, DefaultMaxTimeout},
+		{&c.HeaderTimeout, DefaultHeaderTimeout},
+		{&c.Idle, DefaultIdle},
+		{&c.Stall, DefaultStall},
+	} {
+		if *v.d == 0 {
+			*v.d = v.n
+		}
+	}
+	if c.MaxHeader == 0 {
+		c.MaxHeader = DefaultMaxHeader
+	}
+	if c.MaxBody == 0 {
+		c.MaxBody = DefaultMaxBody
+	}
+	if c.MaxConns == 0 {
+		c.MaxConns = DefaultMaxConns
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	return c
+}
+
+// Check reports a setting that no server can work with.
+func (c Config) Check() error {
+	switch {
+	case c.Control == nil || c.Handler == nil:
+		return fmt.Errorf("%w: control or handler is missing", ErrConfig)
+	case c.Timeout < 0 || c.MaxTimeout < 0 || c.HeaderTimeout < 0 || c.Idle < 0 || c.Stall < 0:
+		return fmt.Errorf("%w: a duration is negative", ErrConfig)
+	case c.MaxHeader < 0 || c.MaxBody < 0 || c.MaxConns < 0:
+		return fmt.Errorf("%w: a bound is negative", ErrConfig)
+	default:
+		return nil
+	}
+}
+
+// Server takes requests of callers over HTTP/1.1. It is an http.Handler.
+type Server struct {
+	cfg   Config
+	http  *http.Server
+	conns atomic.Int64
+	meter *meter
+	done  chan struct{}
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(cfg Config) (*Server, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg.withDefaults(), done: make(chan struct{})}
+	s.meter = newMeter(s.cfg.Metrics, func() float64 { return float64(s.conns.Load()) })
+	s.http = &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: s.cfg.HeaderTimeout,
+		IdleTimeout:       s.cfg.Idle,
+		MaxHeaderBytes:    s.cfg.MaxHeader,
+		ConnState:         s.count,
+		ErrorLog:          newErrorLog(),
+	}
+	return s, nil
+}
+
+// count follows the number of open connections.
+func (s *Server) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.conns.Add(-1)
+	default:
+	}
+}
+
+// Serve takes requests from l until Shutdown or Close. It returns nil after those.
+func (s *Server) Serve(l net.Listener) error {
+	defer close(s.done)
+	err := s.http.Serve(newBounded(l, hardConns*s.cfg.MaxConns))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve callers: %w", err)
+}
+
+// Done returns a channel that is closed when Serve has returned.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Shutdown stops accepting and waits until the running requests are answered.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Close ends all connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	a := &answer{server: s, writer: w, start: now, method: r.Method}
+	defer a.record()
+	if n := s.conns.Load(); n > int64(s.cfg.MaxConns) {
+		w.Header().Set("Connection", "close")
+		f := failed(pollenlatch.Limited, http.StatusServiceUnavailable, "%d connections are open", n)
+		f.After = retryAfter
+		a.fail(f)
+		return
+	}
+	q, f := s.parse(r, now)
+	if f != nil {
+		a.fail(f)
+		return
+	}
+	a.request = q
+	body, f := s.readBody(w, r, q)
+	if f != nil {
+		w.Header().Set("Connection", "close")
+		a.fail(f)
+		return
+	}
+	defer a.unblock(body)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	resp, err := s.cfg.Handler.Handle(ctx, q)
+	if err != nil {
+		a.fail(asFailure(err))
+		return
+	}
+	a.send(resp, cancel)
+}
--- a/link/forward.go
+++ b/link/forward.go
@@ -34,7 +34,8 @@
 var past = time.Unix(1, 0)
 
 // Forward implements pollenlatch.Forwarder. It sends the request to the daemon
-// at addr. r.Body may still be read until its Read returns after Forward has
+// at addr. The deadline holds until the head of the answer; its body lasts
+// until ctx ends. r.Body may still be read until its Read returns after Forward has
 // returned an error, or after the response's body was closed; the caller must
 // then make Read return.
 func (n *Node) Forward(ctx context.Context, addr string, r *pollenlatch.Request) (*pollenlatch.Response, error) {
@@ -51,9 +52,9 @@
 		n.release(s, nil)
 		return nil, unreachable("daemon %s: open a stream: %v", addr, err)
 	}
-	x := &exchange{session: s, stream: st, head: &r.RequestHead}
-	x.ctx, x.cancel = context.WithDeadline(ctx, r.Deadline.Add(answerSlack))
-	x.stop = context.AfterFunc(x.ctx, x.abort)
+	x := &exchange{session: s, stream: st, head: &r.RequestHead, ctx: ctx}
+	x.timer = time.AfterFunc(left+answerSlack, x.expire)
+	x.stop = context.AfterFunc(ctx, x.abort)
 	if f := x.sendRequest(r); f != nil {
 		x.abort()
 		return nil, f
@@ -67,11 +68,26 @@
 	stream  *stream
 	head    *pollenlatch.RequestHead
 	ctx     context.Context
-	cancel  context.CancelFunc
-	stop    func() bool
+	stop    func() bool // of the context
+	timer   *time.Timer // runs until the head of the answer
 
-	over   atomic.Bool // finished or aborted
-	pumped atomic.Bool // the whole request was written
+	expired atomic.Bool
+	over    atomic.Bool // finished or aborted
+	pumped  atomic.Bool // the whole request was written
+}
+
+// expire gives the exchange up at its deadline.
+func (x *exchange) expire() {
+	x.expired.Store(true)
+	x.abort()
+}
+
+// err returns why the exchange was given up from outside, or nil.
+func (x *exchange) err() error {
+	if x.expired.Load() {
+		return context.DeadlineExceeded
+	}
+	return x.ctx.Err()
 }
 
 // abort gives the exchange up. The stream serves no other.
@@ -83,7 +99,7 @@
 	x.session.giveUp(x.stream.StreamID())
 	_ = x.stream.Close()
 	x.stop()
-	x.cancel()
+	x.timer.Stop()
 	x.session.node.release(x.session, nil)
 }
 
@@ -101,7 +117,6 @@
 	} else if bytes > bigExchange {
 		st.Shrink()
 	}
-	x.cancel()
 	x.session.node.release(x.session, st)
 }
 
@@ -163,7 +178,7 @@
 // are found before the first byte is queued; every other one leaves it open.
 func (x *exchange) writeFailed(n int, err error) *pollenlatch.Failure {
 	unsent := n == 0 && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrTimeout))
-	if e := x.ctx.Err(); e != nil {
+	if e := x.err(); e != nil {
 		return ended(e, !unsent)
 	}
 	if unsent {
@@ -214,6 +229,7 @@
 	if err != nil {
 		return nil, x.lost(err)
 	}
+	x.timer.Stop()
 	number, b, err := cutNumber(b)
 	if err != nil || number != x.stream.number {
 		return nil, x.lost(fmt.Errorf("%w: answer %d to exchange %d", errFrame, number, x.stream.number))
@@ -243,7 +259,7 @@
 
 // lost gives the exchange up after the head was sent, and converts the error.
 func (x *exchange) lost(err error) *pollenlatch.Failure {
-	ctxErr := x.ctx.Err()
+	ctxErr := x.err()
 	x.abort()
 	if ctxErr != nil {
 		return ended(ctxErr, true)
--- a/outcome.go
+++ b/outcome.go
@@ -51,6 +51,10 @@
 	Conflict    Reason = "conflict" // an idempotency key with another request
 )
 
+// ServerError is the reason recorded for an answer of the server, outcome Ran,
+// whose status is 500 or above.
+const ServerError Reason = "server-error"
+
 // Failure is an answer of ours that is not the server's.
 type Failure struct {
 	Outcome Outcome `json:"-"`
--- a/spec.go
+++ b/spec.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"time"
 )
 
@@ -65,6 +67,24 @@
 	DCs        []string      `protobuf:"bytes,9,rep,name=dcs" yaml:"dcs"`                // data centres whose endpoints may serve it; empty is all
 	Idempotent []string      `protobuf:"bytes,10,rep,name=idempotent" yaml:"idempotent"` // kinds that may run more than once whatever their method
 	RecordTTL  time.Duration `protobuf:"varint,11,opt,name=recordttl" yaml:"recordttl"`  // how long an idempotency record is kept
+	Once       []string      `protobuf:"bytes,12,rep,name=once" yaml:"once"`             // kinds that run at most once whatever their method
+}
+
+// Safe reports whether a request of the method and kind may run more than
+// once. A kind that the service names decides, otherwise the method does.
+func (s Service) Safe(method, kind string) bool {
+	switch {
+	case kind != "" && slices.Contains(s.Once, kind):
+		return false
+	case kind != "" && slices.Contains(s.Idempotent, kind):
+		return true
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
 }
 
 // Ranges returns the number of ranges of the service.
