relay: count connections in one step with taking an idle one

Cause: a connection was taken from the idle list after it was counted, so that another one given back in between was closed for want of room. The test of the connection limit failed in 1 of 3 runs under load.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -44,9 +44,7 @@
 }
 
 func (x *exchange) run() (*pollenlatch.Response, error) {
-	ctx, cancel := context.WithDeadline(x.ctx, x.last)
-	defer cancel()
-	c, err := x.relay.pool.get(ctx)
+	c, err := x.relay.pool.get(x.ctx, x.last)
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +78,8 @@
 		return context.Canceled
 	}
 	c.w.Reset(x)
-	return c.SetDeadline(x.limit)
+	_ = c.SetDeadline(x.limit) // fails only on a closed connection; so does writing
+	return nil
 }
 
 // cancel closes the connection, which stops the request at the server.
@@ -178,10 +177,8 @@
 // replace opens a new connection in place of a closed one. It takes over the
 // buffer that is being written.
 func (x *exchange) replace() error {
-	ctx, cancel := context.WithDeadline(x.ctx, x.limit)
-	defer cancel()
 	_ = x.conn.Close()
-	c, err := x.relay.pool.open(ctx)
+	c, err := x.relay.pool.open(x.ctx, x.limit)
 	if err != nil {
 		return err
 	}
@@ -192,7 +189,8 @@
 	if x.over {
 		return context.Canceled
 	}
-	return c.SetDeadline(x.limit)
+	_ = c.SetDeadline(x.limit)
+	return nil
 }
 
 // receive reads the head of the answer.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -37,7 +37,8 @@
 	net.Conn
 	r      *bufio.Reader
 	w      *bufio.Writer
-	target uint64 // the server that it was opened to
+	raw    syscall.RawConn // nil when there is no file descriptor
+	target uint64          // the server that it was opened to
 	reused bool
 	since  time.Time // when it became idle
 }
@@ -47,16 +48,11 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return aliveByDeadline(c.Conn)
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = errors.Is(err, syscall.EAGAIN)
@@ -65,6 +61,14 @@
 	return err == nil && open
 }
 
+func newConn(nc net.Conn, target uint64) *conn {
+	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes), w: bufio.NewWriterSize(nil, bufferBytes), target: target}
+	if sc, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = sc.SyscallConn()
+	}
+	return c
+}
+
 // aliveByDeadline is for connections without a file descriptor.
 func aliveByDeadline(c net.Conn) bool {
 	if c.SetReadDeadline(time.Unix(1, 0)) != nil {
@@ -130,46 +134,81 @@
 	p.waiting = p.waiting[1:]
 }
 
-// get returns a connection that the caller owns until put or drop.
-func (p *pool) get(ctx context.Context) (*conn, error) {
-	if err := p.reserve(ctx); err != nil {
+// get returns a connection that the caller owns until put or drop. It waits
+// until the time by at most.
+func (p *pool) get(ctx context.Context, by time.Time) (*conn, error) {
+	c, turn, err := p.reserve()
+	if turn != nil {
+		c, err = p.wait(ctx, by, turn)
+	}
+	if err != nil {
 		return nil, err
 	}
-	if c := p.popIdle(); c != nil {
-		return c, nil
+	for ; c != nil; c = p.popIdle() {
+		if time.Since(c.since) < maxIdle && c.alive() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
 	}
-	c, err := p.open(ctx)
-	if err != nil {
+	if c, err = p.open(ctx, by); err != nil {
 		p.unreserve()
 		return nil, err
 	}
 	return c, nil
 }
 
-// reserve counts one connection as used, after waiting while all are.
-func (p *pool) reserve(ctx context.Context) error {
+// reserve counts one connection as used and returns an idle one, if there is
+// any. While all are used, it returns a turn to wait for.
+func (p *pool) reserve() (c *conn, turn chan struct{}, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		return nil, nil, errClosed
+	case p.addr == "":
+		return nil, nil, errNoServer
+	case p.used < p.limit:
+		p.used++
+		return p.pop(), nil, nil
+	}
+	turn = make(chan struct{})
+	p.waiting = append(p.waiting, turn)
+	return nil, turn, nil
+}
+
+// pop removes and returns the newest idle connection, or nil. The caller holds
+// mu.
+func (p *pool) pop() *conn {
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+func (p *pool) popIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pop()
+}
+
+// wait waits for turns until one of them reserves a connection.
+func (p *pool) wait(ctx context.Context, by time.Time, turn chan struct{}) (*conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
 	for {
-		p.mu.Lock()
-		switch {
-		case p.closed:
-			p.mu.Unlock()
-			return errClosed
-		case p.addr == "":
-			p.mu.Unlock()
-			return errNoServer
-		case p.used < p.limit:
-			p.used++
-			p.mu.Unlock()
-			return nil
-		}
-		turn := make(chan struct{})
-		p.waiting = append(p.waiting, turn)
-		p.mu.Unlock()
 		select {
 		case <-turn:
 		case <-ctx.Done():
 			p.leave(turn)
-			return ctx.Err()
+			return nil, ctx.Err()
+		}
+		var c *conn
+		var err error
+		if c, turn, err = p.reserve(); turn == nil {
+			return c, err
 		}
 	}
 }
@@ -195,36 +234,20 @@
 	p.wakeOne()
 }
 
-func (p *pool) popIdle() *conn {
-	for {
-		p.mu.Lock()
-		if len(p.idle) == 0 {
-			p.mu.Unlock()
-			return nil
-		}
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		p.mu.Unlock()
-		if time.Since(c.since) < maxIdle && c.alive() {
-			c.reused = true
-			return c
-		}
-		_ = c.Close()
-	}
-}
-
-func (p *pool) open(ctx context.Context) (*conn, error) {
+func (p *pool) open(ctx context.Context, by time.Time) (*conn, error) {
 	p.mu.Lock()
 	addr, target := p.addr, p.target
 	p.mu.Unlock()
 	if addr == "" {
 		return nil, errNoServer
 	}
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
 	nc, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes), w: bufio.NewWriterSize(nil, bufferBytes), target: target}, nil
+	return newConn(nc, target), nil
 }
 
 // put makes the connection available to other requests.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -56,7 +56,9 @@
 	near, far := net.Pipe()
 	f.opened.Add(1)
 	f.last.Store(&far)
-	f.peak.Store(max(f.peak.Load(), f.open.Add(1)))
+	n := f.open.Add(1)
+	for p := f.peak.Load(); n > p && !f.peak.CompareAndSwap(p, n); p = f.peak.Load() {
+	}
 	go f.serve(counted{far, f})
 	return near, nil
 }
@@ -351,7 +353,7 @@
 			require.NoError(t, f.Close())
 			t.Cleanup(func() { _ = ends[i].Close() })
 		}
-		return &conn{Conn: ends[0], r: bufio.NewReader(ends[0])}, ends[1]
+		return newConn(ends[0], 0), ends[1]
 	}
 	t.Run("open", func(t *testing.T) {
 		c, _ := pair(t)
