Add seeded trials of the planner against four baselines

Cause: the planner's limits need figures rather than guesses. Change: package trial simulates both deployments' keyed services in nine traces and compares the planner with modulo, consistent, rendezvous and bounded-load hashing.

--- /dev/null
+++ b/trial/report.go
@@ -0,0 +1,106 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+
+	"pollenlatch"
+	"pollenlatch/plan"
+)
+
+// Method is a way to place shards.
+type Method struct {
+	Name string
+	New  func() pollenlatch.Planner
+}
+
+// virtual is the number of virtual nodes of an endpoint in the baselines.
+const virtual = 100
+
+// Methods returns the planner and the baselines.
+func Methods() []Method {
+	return []Method{
+		{"planner", func() pollenlatch.Planner { return plan.New(plan.Settings{}) }},
+		{"modulo", Modulo},
+		{"consistent", func() pollenlatch.Planner { return Consistent(virtual) }},
+		{"rendezvous", Rendezvous},
+		{"bounded 1.10", func() pollenlatch.Planner { return Bounded(virtual, 1.1) }},
+	}
+}
+
+// Row is the results of all methods in one trace.
+type Row struct {
+	Deployment Deployment
+	Trace      string
+	Results    []Result // by method
+}
+
+// Run runs all methods against all traces of both deployments and returns the
+// means over seeds 1 to n.
+func Run(n int) []Row {
+	var rows []Row
+	for _, d := range []Deployment{Board(), Cratehaul()} {
+		for _, t := range Traces(len(d.DCs)) {
+			row := Row{Deployment: d, Trace: t.Name}
+			for _, m := range Methods() {
+				var sum Result
+				for seed := range n {
+					sum = sum.plus(Simulate(d, t, m.New(), uint64(seed+1)))
+				}
+				row.Results = append(row.Results, sum.times(1/float64(n)))
+			}
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// measures returns the three measures of a result; less is better.
+func (r Result) measures() map[string]float64 {
+	return map[string]float64{Imbalance: r.LoadMax, Churn: r.Keys, LoadMoved: r.Moved, Unavailable: r.Down}
+}
+
+// Verdict says how the planner stands against the best baseline in each
+// measure of a row.
+func (r Row) Verdict() string {
+	ours := r.Results[0].measures()
+	out := ""
+	for _, name := range []string{Imbalance, Churn, LoadMoved, Unavailable} {
+		best := r.Results[1].measures()[name]
+		for _, b := range r.Results[2:] {
+			best = min(best, b.measures()[name])
+		}
+		word := "worse"
+		switch {
+		case r.Deployment.Most == name && ours[name] < best/2:
+			word = "under half"
+		case ours[name] <= best:
+			word = "no worse"
+		}
+		if out != "" {
+			out += ", "
+		}
+		out += name + " " + word
+	}
+	return out
+}
+
+// Write writes the rows as tables in Markdown.
+func Write(w io.Writer, rows []Row) error {
+	for _, r := range rows {
+		_, err := fmt.Fprintf(w, "\n%s, %s: %s (most weight: %s)\n\n"+
+			"| method | load max/mean | load p99/mean | ranges max/mean | ranges p99/mean | moves | keys moved | load moved | unavailable key-s |\n"+
+			"|---|---|---|---|---|---|---|---|---|\n", r.Deployment.Name, r.Trace, r.Verdict(), r.Deployment.Most)
+		if err != nil {
+			return fmt.Errorf("writing the trial's tables: %w", err)
+		}
+		for i, m := range Methods() {
+			x := r.Results[i]
+			if _, err := fmt.Fprintf(w, "| %s | %.3f | %.3f | %.3f | %.3f | %.0f | %.3f | %.3f | %.0f |\n",
+				m.Name, x.LoadMax, x.LoadP99, x.RangeMax, x.RangeP99, x.Moves, x.Keys, x.Moved, x.Down); err != nil {
+				return fmt.Errorf("writing the trial's tables: %w", err)
+			}
+		}
+	}
+	return nil
+}
