Move a range or its hot key in one round, not both

Cause: a hot key and its range were both options with the full rate, so a round could move the same load twice. Change: one option for each range and round.

--- a/plan/balance.go
+++ b/plan/balance.go
@@ -65,7 +65,11 @@
 	}
 	options := r.options(c)
 	n := 0
+	moved := make(map[pollenlatch.Range]bool) // a range or its hot key, not both
 	for _, o := range options {
+		if moved[o.Range] {
+			continue
+		}
 		if n == left || r.book.tokens <= 0 || c.load < 1+start*stopShare {
 			break
 		}
@@ -84,6 +88,7 @@
 		if o.Key != "" {
 			reason = reasonHot
 		}
+		moved[o.Range] = true
 		r.hand(o, t, reason, gain)
 		r.take(c, o.rate)
 		if o.Key != "" {
