--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -51,8 +51,7 @@
 	leaving  bool
 	left     bool
 
-	dirty     bool // state or lease changed since the last Publish
-	published pollenlatch.Mono
+	dirty bool // state or lease changed since the last Publish
 }
 
 // move is the hand-over of one of this instance's shards.
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -58,6 +58,7 @@
 	Transfer Transfer
 	Log      *quorum.Start // what the data folder held; nil in a process that is not a voter
 
+	once    sync.Once // makes the channels
 	events  chan func(pollenlatch.Mono) Event
 	disk    chan quorum.Persist
 	synced  chan Synced
@@ -73,16 +74,23 @@
 	waiting map[uint64]chan pollenlatch.Verdict
 }
 
-// Start runs the loop until ctx ends.
+// open makes the channels, so that events may be posted before Start.
+func (l *Loop) open() {
+	l.once.Do(func() {
+		l.events = make(chan func(pollenlatch.Mono) Event, eventQueue)
+		l.disk = make(chan quorum.Persist, diskQueue)
+		l.synced = make(chan Synced, 2*diskQueue)
+		l.grants = make(chan func(context.Context), 1)
+		l.done = make(chan struct{})
+		l.drained = make(chan struct{})
+		l.left = make(chan struct{})
+		l.waiting = make(map[uint64]chan pollenlatch.Verdict)
+	})
+}
+
+// Start runs the loop until ctx ends. Events posted before wait for it.
 func (l *Loop) Start(ctx context.Context) {
-	l.events = make(chan func(pollenlatch.Mono) Event, eventQueue)
-	l.disk = make(chan quorum.Persist, diskQueue)
-	l.synced = make(chan Synced, 2*diskQueue)
-	l.grants = make(chan func(context.Context), 1)
-	l.done = make(chan struct{})
-	l.drained = make(chan struct{})
-	l.left = make(chan struct{})
-	l.waiting = make(map[uint64]chan pollenlatch.Verdict)
+	l.open()
 	if l.Clock == nil {
 		l.Clock = pollenlatch.System{}
 	}
@@ -96,13 +104,22 @@
 }
 
 // Done is closed when the loop has ended.
-func (l *Loop) Done() <-chan struct{} { return l.done }
+func (l *Loop) Done() <-chan struct{} {
+	l.open()
+	return l.done
+}
 
 // Drained is closed when this instance owns nothing any more after Drain.
-func (l *Loop) Drained() <-chan struct{} { return l.drained }
+func (l *Loop) Drained() <-chan struct{} {
+	l.open()
+	return l.drained
+}
 
 // Left is closed when the lease has ended after Leave.
-func (l *Loop) Left() <-chan struct{} { return l.left }
+func (l *Loop) Left() <-chan struct{} {
+	l.open()
+	return l.left
+}
 
 // Err returns why this process can no longer be a voter, once Done is closed.
 func (l *Loop) Err() error { return l.halted }
@@ -131,6 +148,7 @@
 // Submit proposes a ticket and waits for its verdict. It returns ctx's error
 // when no verdict came in time; the same ticket may then be submitted again.
 func (l *Loop) Submit(ctx context.Context, t pollenlatch.Ticket) (pollenlatch.Verdict, error) {
+	l.open()
 	answer := make(chan pollenlatch.Verdict, 1)
 	l.mu.Lock()
 	l.nextID++
@@ -157,6 +175,7 @@
 // post queues an event. Its time is read when the loop takes it, so that times
 // never go backwards.
 func (l *Loop) post(ev func(pollenlatch.Mono) Event) {
+	l.open()
 	select {
 	case l.events <- ev:
 	case <-l.done:
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,310 @@
+// Package daemon puts the parts of one process together: links to other
+// daemons, the control loop, the callers' server, the pipeline to the server
+// beside it, and the administration API.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pollenlatch"
+	"pollenlatch/ctrl"
+	"pollenlatch/front"
+	"pollenlatch/link"
+	"pollenlatch/local"
+	"pollenlatch/pick"
+	"pollenlatch/plan"
+	"pollenlatch/quorum"
+	"pollenlatch/relay"
+)
+
+// Config is what a daemon is made of. Addresses are host:port.
+type Config struct {
+	Name   string // of the instance
+	DC     string
+	Group  string
+	Key    []byte // shared by the group
+	Link   string // listens for other daemons
+	Front  string // listens for callers
+	Local  string // listens for the server beside it
+	Voters []pollenlatch.Member
+	Voter  *Voter // nil in a process that is not a voter
+	Timing ctrl.Timing
+	Drain  time.Duration // longest time for requests in flight at the end; 0 is DefaultDrain
+}
+
+// Voter is what a voter has besides: its place in the group and its log.
+type Voter struct {
+	Self    pollenlatch.Member
+	Genesis []pollenlatch.Member
+	Disk    ctrl.Disk
+	Log     quorum.Start
+}
+
+// DefaultDrain is the longest time that a daemon waits for requests in flight
+// when it is told to stop.
+const DefaultDrain = 30 * time.Second
+
+// Errors of a daemon.
+var (
+	ErrConfig = errors.New("daemon settings")
+	ErrVoter  = errors.New("voter has stopped")
+)
+
+// Daemon is one process. Use New, then Run.
+type Daemon struct {
+	cfg   Config
+	life  pollenlatch.Incarnation
+	desk  ctrl.Desk
+	loop  *ctrl.Loop
+	node  *link.Node
+	local *local.Local
+	relay *relay.Relay
+	front *front.Server
+	done  chan struct{}
+
+	mu       sync.Mutex
+	peers    map[string]link.Peer // by name, on the newest session
+	endpoint pollenlatch.Endpoint
+	errs     chan error
+
+	abort   sync.Once
+	aborted chan struct{}
+}
+
+// New opens the daemon's listeners and connects its parts.
+func New(cfg Config) (*Daemon, error) {
+	if cfg.Name == "" || cfg.DC == "" || len(cfg.Voters) == 0 {
+		return nil, fmt.Errorf("%w: name, data centre and voters are required", ErrConfig)
+	}
+	if cfg.Drain == 0 {
+		cfg.Drain = DefaultDrain
+	}
+	if cfg.Timing == (ctrl.Timing{}) {
+		cfg.Timing = ctrl.DefaultTiming()
+	}
+	d := &Daemon{
+		cfg:   cfg,
+		life:  pollenlatch.Incarnation(rand.Uint64() | 1),
+		done:  make(chan struct{}),
+		peers: make(map[string]link.Peer),
+		errs:  make(chan error, 8),
+
+		aborted: make(chan struct{}),
+	}
+	if err := d.connect(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) connect() error {
+	d.local = local.New(local.Config{Facts: d})
+	d.relay = relay.New(relay.Config{MaxRun: d.maxRun})
+	node, err := link.New(link.Config{
+		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.life, Key: d.cfg.Key,
+		Control: d.receive, Requests: pollenlatch.HandlerFunc(d.serve),
+	})
+	if err != nil {
+		return err
+	}
+	d.node = node
+	d.loop = &ctrl.Loop{
+		Reducer: ctrl.New(d.reducerConfig()),
+		Desk:    &d.desk,
+		Sender:  d,
+		Granter: d.local,
+	}
+	if v := d.cfg.Voter; v != nil {
+		d.loop.Disk, d.loop.Log = v.Disk, &v.Log
+	}
+	router := front.NewRouter(front.RouterConfig{
+		Control: &d.desk, Local: pollenlatch.HandlerFunc(d.serve), Forward: node, Picker: pick.First{}, DC: d.cfg.DC,
+	})
+	d.front, err = front.NewServer(front.Config{Control: &d.desk, Handler: router, Front: d.cfg.Front})
+	return err
+}
+
+func (d *Daemon) reducerConfig() ctrl.Config {
+	cfg := ctrl.Config{
+		Self: pollenlatch.Join{
+			Name: d.cfg.Name, DC: d.cfg.DC, Addr: d.cfg.Link, Front: d.cfg.Front, Incarnation: d.life,
+		},
+		Voters: d.cfg.Voters,
+		Timing: d.cfg.Timing,
+	}
+	if v := d.cfg.Voter; v != nil {
+		cfg.Planner = plan.New(plan.Settings{})
+		cfg.Quorum = &quorum.Config{
+			Self: v.Self, Genesis: v.Genesis, Heartbeat: d.cfg.Timing.Heartbeat,
+			Election: d.cfg.Timing.Election, Seed: uint64(d.life),
+		}
+	}
+	return cfg
+}
+
+// Done is closed when Run has returned.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Access returns what traffic may do now.
+func (d *Daemon) Access() *ctrl.Access { return d.desk.Access() }
+
+// Submit proposes a ticket and waits for its verdict.
+func (d *Daemon) Submit(ctx context.Context, t pollenlatch.Ticket) (pollenlatch.Verdict, error) {
+	return d.loop.Submit(ctx, t)
+}
+
+// Abort ends the daemon at once, as a crash does.
+func (d *Daemon) Abort() { d.abort.Do(func() { close(d.aborted) }) }
+
+// Run serves until ctx ends, then hands everything over, finishes the requests
+// in flight and leaves.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer close(d.done)
+	life, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := d.listen(life); err != nil {
+		return err
+	}
+	d.loop.Start(life)
+	klog.InfoS("daemon started", "instance", d.cfg.Name, "dc", d.cfg.DC, "link", d.cfg.Link, "front", d.cfg.Front)
+	var err error
+	select {
+	case <-ctx.Done():
+		d.leave()
+	case err = <-d.errs:
+	case <-d.aborted:
+	case <-d.loop.Done():
+		err = fmt.Errorf("%w: %w", ErrVoter, d.loop.Err())
+	}
+	d.close(stop)
+	return err
+}
+
+func (d *Daemon) listen(ctx context.Context) error {
+	for _, l := range []struct {
+		what, addr string
+		serve      func(net.Listener) error
+	}{
+		{"link", d.cfg.Link, d.node.Serve},
+		{"local", d.cfg.Local, d.local.Serve},
+		{"front", d.cfg.Front, d.front.Serve},
+	} {
+		var lc net.ListenConfig
+		ln, err := lc.Listen(ctx, "tcp", l.addr)
+		if err != nil {
+			return fmt.Errorf("%s address: %w", l.what, err)
+		}
+		go func() {
+			if err := l.serve(ln); err != nil {
+				d.errs <- fmt.Errorf("%s: %w", l.what, err)
+			}
+		}()
+	}
+	return nil
+}
+
+// leave is the graceful end: hand over, finish, end the lease.
+func (d *Daemon) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Drain)
+	defer cancel()
+	klog.InfoS("daemon is draining", "instance", d.cfg.Name)
+	d.loop.Drain()
+	d.wait(ctx, d.loop.Drained())
+	if err := d.front.Shutdown(ctx); err != nil {
+		klog.ErrorS(err, "callers' requests were cut off by the drain time", "instance", d.cfg.Name)
+	}
+	if err := d.node.Drain(ctx); err != nil {
+		klog.ErrorS(err, "forwarded requests were cut off by the drain time", "instance", d.cfg.Name)
+	}
+	d.loop.Leave()
+	d.wait(ctx, d.loop.Left())
+}
+
+func (d *Daemon) wait(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-done:
+	case <-d.loop.Done():
+	case <-ctx.Done():
+	}
+}
+
+func (d *Daemon) close(stop context.CancelFunc) {
+	_ = d.front.Close()
+	_ = d.node.Close()
+	stop()
+	<-d.loop.Done()
+	d.relay.Close()
+	_ = d.local.Close()
+}
+
+// Send implements ctrl.Sender.
+func (d *Daemon) Send(addr string, m *pollenlatch.Message) { d.node.Send(addr, m) }
+
+// Reply implements ctrl.Sender.
+func (d *Daemon) Reply(to string, m *pollenlatch.Message) {
+	d.mu.Lock()
+	p, ok := d.peers[to]
+	d.mu.Unlock()
+	if ok {
+		p.Send(m)
+	}
+}
+
+func (d *Daemon) receive(from link.Peer, m *pollenlatch.Message) {
+	d.mu.Lock()
+	d.peers[from.Name] = from
+	d.mu.Unlock()
+	d.loop.Receive(from.Name, m)
+}
+
+// Announce implements pollenlatch.Facts.
+func (d *Daemon) Announce(e pollenlatch.Endpoint) {
+	d.mu.Lock()
+	d.endpoint = e
+	d.mu.Unlock()
+	d.relay.Use(e)
+	d.loop.Announce(e)
+}
+
+// Lost implements pollenlatch.Facts.
+func (d *Daemon) Lost() {
+	d.mu.Lock()
+	e := d.endpoint
+	e.Ready = false
+	d.mu.Unlock()
+	d.loop.Announce(e)
+}
+
+// defaultMaxRun is for a service that the state no longer names.
+const defaultMaxRun = 2 * time.Second
+
+func (d *Daemon) maxRun(service string) time.Duration {
+	if s, ok := d.desk.View().Service(service); ok && s.MaxRun > 0 {
+		return s.MaxRun
+	}
+	return defaultMaxRun
+}
+
+// serve runs a request at the server beside this daemon.
+func (d *Daemon) serve(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+	pass, err := d.desk.Enter(r.Shard, r.Fence)
+	if err != nil {
+		return nil, err
+	}
+	w, err := d.relay.Exchange(ctx, r, pass.Check)
+	if err != nil {
+		pass.Exit()
+		return nil, err
+	}
+	w.Owner = d.cfg.Front
+	w.Body = &passBody{ReadCloser: w.Body, pass: pass}
+	return w, nil
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,260 @@
+// Package fleet runs a small deployment in one process: daemons on loopback
+// ports, each with a sample endpoint server beside it. The demonstration, the
+// load command and tests use it.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/ctrl"
+	"pollenlatch/daemon"
+	"pollenlatch/sample"
+)
+
+// Place is one instance of the deployment.
+type Place struct {
+	Name     string
+	DC       string
+	Endpoint pollenlatch.Endpoint // Service may be empty: no server beside the daemon
+	Voter    bool
+}
+
+// Config describes a deployment.
+type Config struct {
+	Places      []Place
+	Dir         string        // holds the voters' data folders
+	ServiceTime time.Duration // of the sample servers
+	Spread      float64       // share of ServiceTime that varies
+	Seed        uint64
+	Timing      ctrl.Timing // zero is the default
+}
+
+// ErrTimeout says that the deployment did not reach a state in time.
+var ErrTimeout = errors.New("deployment did not get ready in time")
+
+// Fleet is a running deployment. Use Start, then Close.
+type Fleet struct {
+	cfg    Config
+	voters []pollenlatch.Member
+	ledger *sample.Ledger
+
+	mu    sync.Mutex
+	nodes map[string]*Node
+	order []string
+}
+
+// Node is one instance of a running deployment.
+type Node struct {
+	Place
+	Addrs  Addrs
+	Daemon *daemon.Daemon
+	Server *sample.Server // nil without an endpoint
+
+	stop    context.CancelFunc
+	stopped chan struct{}
+	err     error
+}
+
+// Addrs are the addresses of one instance.
+type Addrs struct {
+	Link, Front, Local, Server string
+}
+
+// groupKey is the shared key of a deployment that lives on loopback in one process.
+var groupKey = []byte("a deployment in one process")
+
+// Start starts every instance and returns without waiting for a leader.
+func Start(cfg Config) (*Fleet, error) {
+	f := &Fleet{cfg: cfg, nodes: make(map[string]*Node), ledger: new(sample.Ledger)}
+	for _, p := range cfg.Places {
+		addrs, err := freeAddrs()
+		if err != nil {
+			return nil, err
+		}
+		f.nodes[p.Name] = &Node{Place: p, Addrs: addrs}
+		f.order = append(f.order, p.Name)
+		if p.Voter {
+			f.voters = append(f.voters, pollenlatch.Member{Name: p.Name, Incarnation: genesisIncarnation(p.Name), Addr: addrs.Link})
+		}
+	}
+	for _, name := range f.order {
+		if err := f.Restart(name); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// freeAddrs picks ports that are free now.
+func freeAddrs() (Addrs, error) {
+	var a Addrs
+	for _, p := range []*string{&a.Link, &a.Front, &a.Local, &a.Server} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return a, fmt.Errorf("find a free port: %w", err)
+		}
+		*p = ln.Addr().String()
+		defer func() { _ = ln.Close() }()
+	}
+	return a, nil
+}
+
+// Restart starts an instance that does not run.
+func (f *Fleet) Restart(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.nodes[name]
+	n := &Node{Place: old.Place, Addrs: old.Addrs, stopped: make(chan struct{})}
+	d, err := f.newDaemon(n)
+	if err != nil {
+		return fmt.Errorf("instance %s: %w", name, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.Daemon, n.stop = d, stop
+	go func() {
+		n.err = d.Run(ctx)
+		close(n.stopped)
+	}()
+	if n.Endpoint.Service != "" {
+		if err := f.startServer(n); err != nil {
+			return fmt.Errorf("instance %s: %w", name, err)
+		}
+	}
+	f.nodes[name] = n
+	return nil
+}
+
+func (f *Fleet) newDaemon(n *Node) (*daemon.Daemon, error) {
+	cfg := daemon.Config{
+		Name: n.Name, DC: n.DC, Group: "fleet", Key: groupKey,
+		Link: n.Addrs.Link, Front: n.Addrs.Front, Local: n.Addrs.Local,
+		Voters: f.voters, Timing: f.cfg.Timing,
+	}
+	if n.Voter {
+		v, err := openVoter(filepath.Join(f.cfg.Dir, n.Name), n.Name, f.voters)
+		if err != nil {
+			return nil, err
+		}
+		cfg.Voter = v
+	}
+	return daemon.New(cfg)
+}
+
+func (f *Fleet) startServer(n *Node) error {
+	s, err := sample.New(sample.Config{
+		Endpoint: n.Endpoint, Daemon: n.Addrs.Local, ServiceTime: f.cfg.ServiceTime,
+		Spread: f.cfg.Spread, Seed: f.cfg.Seed, Ledger: f.ledger,
+	})
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", n.Addrs.Server)
+	if err != nil {
+		return err
+	}
+	n.Server = s
+	go func() { _ = s.Serve(ln) }()
+	return nil
+}
+
+// Node returns an instance by name.
+func (f *Fleet) Node(name string) *Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
+}
+
+// Names returns the names of all instances, in the order of the configuration.
+func (f *Fleet) Names() []string { return f.order }
+
+// Ledger tells what the sample servers ran.
+func (f *Fleet) Ledger() *sample.Ledger { return f.ledger }
+
+// Kill ends an instance as a power failure does.
+func (f *Fleet) Kill(name string) {
+	n := f.Node(name)
+	if n.Server != nil {
+		_ = n.Server.Close()
+	}
+	n.Daemon.Abort()
+	<-n.stopped
+}
+
+// Shut ends an instance gracefully: it hands over, finishes and leaves.
+func (f *Fleet) Shut(ctx context.Context, name string) error {
+	n := f.Node(name)
+	n.stop()
+	select {
+	case <-n.stopped:
+	case <-ctx.Done():
+		return fmt.Errorf("instance %s: %w", name, ctx.Err())
+	}
+	if n.Server != nil {
+		_ = n.Server.Close()
+	}
+	return n.err
+}
+
+// Close ends every instance at once.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	nodes := make([]*Node, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		if n.Daemon != nil {
+			nodes = append(nodes, n)
+		}
+	}
+	f.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, n := range nodes {
+		wg.Go(func() {
+			if n.Server != nil {
+				_ = n.Server.Close()
+			}
+			n.Daemon.Abort()
+			<-n.stopped
+		})
+	}
+	wg.Wait()
+}
+
+// Wait waits until the condition holds on some instance's access.
+func (f *Fleet) Wait(ctx context.Context, ok func(a *ctrl.Access) bool) error {
+	for {
+		for _, name := range f.order {
+			if n := f.Node(name); n.Daemon != nil && ok(n.Daemon.Access()) {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ErrTimeout
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+const pollInterval = 5 * time.Millisecond
+
+// Submit sends a ticket through the first instance that answers.
+func (f *Fleet) Submit(ctx context.Context, t pollenlatch.Ticket) (pollenlatch.Verdict, error) {
+	for _, name := range f.order {
+		n := f.Node(name)
+		if n.Daemon == nil {
+			continue
+		}
+		v, err := n.Daemon.Submit(ctx, t)
+		if err == nil || ctx.Err() != nil {
+			return v, err
+		}
+	}
+	return pollenlatch.Verdict{}, ErrTimeout
+}
