Show that the control checks notice broken rules

Change: five rules of the protocol can be broken by the tests, messages can be late by up to 400 ms, and messages leave the leader in a fixed order. The owner check runs after events that changed what a process may do.

--- a/ctrl/ctrl_test.go
+++ b/ctrl/ctrl_test.go
@@ -237,21 +237,69 @@
 	for seed := uint64(1); seed <= 30; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := settled(t, seed, 3+2*int(seed%2), 4)
-			s.work = 200 * time.Millisecond
-			for range 40 {
-				s.fault()
-				s.run(time.Duration(s.rng.Int64N(int64(400 * time.Millisecond))))
-			}
+			s.disturb()
 			s.heal()
 			require.True(t, s.until(10*time.Second, s.allOwned), "the deployment does not recover")
 		})
 	}
 }
 
+// disturb lets random faults come and go.
+func (s *sim) disturb() {
+	s.work = 200 * time.Millisecond
+	for range 40 {
+		s.fault()
+		s.run(time.Duration(s.rng.Int64N(int64(400 * time.Millisecond))))
+	}
+}
+
+// A check that cannot fail proves nothing: each broken rule must be noticed
+// within the same kind of runs.
+func TestBrokenRulesAreNoticed(t *testing.T) {
+	const seeds = 200
+	for _, c := range []struct {
+		name   string
+		broken rules
+	}{
+		{"no wait after an election", rules{noElectionWait: true}},
+		{"lease counted from the arrival", rules{fromArrival: true}},
+		{"no wait for requests in flight", rules{noDrainWait: true}},
+		{"lease used before the log", rules{joinAtOnce: true}},
+		{"grants without asking a majority", rules{noLeaderCheck: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= seeds; seed++ {
+				s := settled(t, seed, 3+2*int(seed%2), 4)
+				s.rules = c.broken
+				for _, n := range s.nodes {
+					n.r.rules = c.broken
+				}
+				noticed := false
+				s.check = func() { noticed = noticed || s.twoOwners() }
+				s.disturb()
+				if noticed {
+					t.Logf("noticed at seed %d", seed)
+					return
+				}
+			}
+			t.Fatalf("not noticed in %d seeds", seeds)
+		})
+	}
+}
+
+func (s *sim) twoOwners() bool {
+	for r := range simRanges {
+		if len(s.owners(rangeShard(r))) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // fault breaks or repairs one thing at random.
 func (s *sim) fault() {
 	n := s.nodes[s.order[s.rng.IntN(len(s.order))]]
-	switch s.rng.IntN(8) {
+	switch s.rng.IntN(9) {
 	case 0:
 		n.kill()
 	case 1:
@@ -272,11 +320,14 @@
 		s.drop = s.rng.Float64() * 0.2
 	case 7:
 		s.double = s.rng.Float64() * 0.2
+	case 8: // late and out of order
+		s.slow[n.name] = time.Duration(s.rng.Int64N(int64(400 * time.Millisecond)))
 	}
 }
 
 func (s *sim) heal() {
 	clear(s.cut)
+	clear(s.slow)
 	s.drop, s.double = 0, 0
 	for _, name := range s.order {
 		n := s.nodes[name]
--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -183,6 +185,9 @@
 	if !h.held.Grant(m.Seq, m.Lease, m.TTL) {
 		return
 	}
+	if h.rules.fromArrival {
+		h.held.Grant(h.held.Send(h.now), m.Lease, m.TTL)
+	}
 	h.force = max(h.force, m.Force)
 	h.dirty = true
 	h.activate()
@@ -197,7 +202,10 @@
 func (h *holder) activate() {
 	l, _ := h.held.Lease()
 	me, ok := h.state.Lookup(h.cfg.Self.Name)
-	if l == 0 || l == h.joined || !ok || me.Lease != l || me.Incarnation != h.cfg.Self.Incarnation {
+	if l == 0 || l == h.joined || !ok {
+		return
+	}
+	if (me.Lease != l || me.Incarnation != h.cfg.Self.Incarnation) && !h.rules.joinAtOnce {
 		return
 	}
 	h.joined = l
@@ -316,6 +324,9 @@
 		}
 		moves[k] = &move{}
 		h.do(Await{Key: k})
+		if h.rules.noDrainWait {
+			moves[k].empty, moves[k].released = true, true
+		}
 		return true
 	})
 	h.moves = moves
@@ -364,7 +375,9 @@
 	if len(items) == 0 || h.joined == 0 {
 		return
 	}
-	slices.SortFunc(items, func(a, b pollenlatch.Released) int { return int(a.Range) - int(b.Range) })
+	slices.SortFunc(items, func(a, b pollenlatch.Released) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Range, b.Range), cmp.Compare(a.Key, b.Key))
+	})
 	me, _ := h.state.Lookup(h.cfg.Self.Name)
 	h.send(h.ask(), &pollenlatch.Message{Release: &pollenlatch.Release{Instance: me.ID, Lease: h.joined, Items: items}})
 }
@@ -382,7 +395,8 @@
 }
 
 func (h *holder) resubmit() {
-	for id, s := range h.tickets {
+	for _, id := range slices.Sorted(maps.Keys(h.tickets)) {
+		s := h.tickets[id]
 		if h.now.Sub(s.sentAt) >= submitRetry {
 			s.sentAt = h.now
 			h.propose(id, s.ticket)
--- a/ctrl/push.go
+++ b/ctrl/push.go
@@ -86,6 +86,7 @@
 	if !ok {
 		s = &sub{sent: held}
 		v.subs[name] = s
+		v.order = append(v.order, name)
 	}
 	s.held = held
 	if held > s.sent || (held < s.sent && v.now.Sub(s.sentAt) >= pushRetry) {
@@ -99,8 +100,8 @@
 	if !v.lead {
 		return
 	}
-	for name, s := range v.subs {
-		v.pushTo(name, s)
+	for _, name := range v.order {
+		v.pushTo(name, v.subs[name])
 	}
 }
 
--- a/ctrl/reducer.go
+++ b/ctrl/reducer.go
@@ -22,9 +22,20 @@
 // DefaultCompactAfter bounds the log that a voter reads at its start.
 const DefaultCompactAfter = 20_000
 
+// rules lets tests break a rule of the protocol, to show that the checks notice.
+// The zero value keeps them all.
+type rules struct {
+	noElectionWait bool // a new leader ends leases that its predecessor may have extended
+	fromArrival    bool // a holder counts its lease from the arrival of the answer
+	noDrainWait    bool // a shard is released while requests for it are in flight
+	joinAtOnce     bool // a holder uses a lease before it has applied the log up to it
+	noLeaderCheck  bool // a leader grants without asking whether a majority still follows it
+}
+
 // Reducer is the control state of one process.
 type Reducer struct {
 	cfg   Config
+	rules rules
 	now   pollenlatch.Mono
 	state *state.State
 	out   []Effect
--- a/ctrl/sim_test.go
+++ b/ctrl/sim_test.go
@@ -22,18 +22,21 @@
 	queue events
 	seq   uint64
 
-	delay  func(from, to string) time.Duration
-	cut    map[[2]string]bool // messages from the first to the second are lost
-	drop   float64            // share of messages lost
-	double float64            // share of messages delivered twice
-	sync   time.Duration      // time of one disk write
-	check  func()             // called after every event
-	timing Timing
+	delay   func(from, to string) time.Duration
+	cut     map[[2]string]bool       // messages from the first to the second are lost
+	slow    map[string]time.Duration // longest extra delay of what a process receives
+	drop    float64                  // share of messages lost
+	double  float64                  // share of messages delivered twice
+	sync    time.Duration            // time of one disk write
+	check   func()                   // called after every event that changed what a process may do
+	changed bool
+	timing  Timing
 
 	verdicts map[uint64]pollenlatch.Verdict
 	voters   []pollenlatch.Member
 	planner  func() pollenlatch.Planner
 	compact  uint64
+	rules    rules
 	work     time.Duration // length of the requests that keep a shard busy; 0 is none
 }
 
@@ -105,7 +108,7 @@
 // newSim makes voters v1.. with an endpoint beside each, and daemons d1..
 func newSim(seed uint64, voters, daemons int, planner func() pollenlatch.Planner) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*node), cut: make(map[[2]string]bool),
+		rng: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*node), cut: make(map[[2]string]bool), slow: make(map[string]time.Duration),
 		sync: 2 * time.Millisecond, timing: DefaultTiming(), verdicts: make(map[uint64]pollenlatch.Verdict), planner: planner,
 	}
 	s.delay = func(string, string) time.Duration {
@@ -156,7 +159,8 @@
 		e := heap.Pop(&s.queue).(event)
 		s.now = e.at
 		e.do()
-		if s.check != nil {
+		if s.changed && s.check != nil {
+			s.changed = false
 			s.check()
 		}
 	}
@@ -183,6 +187,7 @@
 		boot.Log = &quorum.Start{Now: n.sim.now, Hard: n.disk.hard, Snapshot: n.disk.snapshot, Entries: slices.Clone(n.disk.entries)}
 	}
 	n.r = New(cfg)
+	n.r.rules = n.sim.rules
 	n.access = Access{View: n.r.State()}
 	n.step(boot)
 	n.step(Announced{Now: n.sim.now, Endpoint: n.facts})
@@ -249,6 +254,7 @@
 		})
 	case Publish:
 		n.access = e.Access
+		s.changed = true
 	case Await:
 		wait := time.Duration(0)
 		if s.work > 0 {
@@ -285,7 +291,11 @@
 	}
 	for range copies {
 		epoch := dest.epoch
-		s.after(s.delay(n.name, to), func() {
+		delay := s.delay(n.name, to)
+		if slow := s.slow[to]; slow > 0 {
+			delay += time.Duration(s.rng.Int64N(int64(slow)))
+		}
+		s.after(delay, func() {
 			dest.deliver(epoch, func() Event { return Received{Now: s.now, From: n.name, Message: m} })
 		})
 	}
--- a/ctrl/voter.go
+++ b/ctrl/voter.go
@@ -33,6 +33,7 @@
 	proposed map[uint64]string // proposal in the log's hands -> what it is for
 	pending  map[string]uint64 // what is being proposed -> its index; 0 before it has one
 	subs     map[string]*sub
+	order    []string // names of subs, so that messages go out in the same order each run
 	tail     tail
 	offer    offer
 	waiters  map[document][]waiter
@@ -163,7 +164,7 @@
 	v.lead, v.ready = e.Lead, false
 	v.granter.Reset()
 	v.proposed, v.pending = nil, nil
-	v.subs, v.waiters = nil, nil
+	v.subs, v.order, v.waiters = nil, nil, nil
 	v.loads, v.endedAt, v.splits = nil, nil, nil
 	if !e.Lead {
 		v.logf("leadership ended", "term", e.Term)
@@ -200,7 +201,11 @@
 	v.behind, v.newest = v.now, newestTicket(v.state)
 	for _, i := range v.state.Instances() {
 		if i.Alive() {
-			v.granter.Extend(i.ID, i.Lease, v.electedAt, v.cfg.Timing.Lease)
+			wait := v.cfg.Timing.Lease
+			if v.rules.noElectionWait {
+				wait = 0
+			}
+			v.granter.Extend(i.ID, i.Lease, v.electedAt, wait)
 		} else {
 			v.endedAt[i.ID] = v.electedAt
 		}
@@ -220,7 +225,7 @@
 
 // canGrant reports whether this process may extend leases now.
 func (v *voter) canGrant() bool {
-	return v.lead && v.ready && !v.halted && v.log.Leading(v.now)
+	return v.lead && v.ready && !v.halted && (v.log.Leading(v.now) || v.rules.noLeaderCheck)
 }
 
 func (v *voter) apply(entries []quorum.Entry) {
