--- a/front/answer.go
+++ b/front/answer.go
@@ -55,6 +55,17 @@
 	_, _ = a.writer.Write(b)
 }
 
+// refuse answers with a failure and ends the connection. net/http reads what
+// it can of a body before it answers; it must not wait for a slow caller there.
+func (a *answer) refuse(f *pollenlatch.Failure) {
+	a.writer.Header().Set("Connection", "close")
+	_ = http.NewResponseController(a.writer).SetReadDeadline(past)
+	a.fail(f)
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 func (a *answer) writeDeadline() {
 	_ = http.NewResponseController(a.writer).SetWriteDeadline(time.Now().Add(a.server.cfg.Stall))
 }
@@ -148,7 +159,7 @@
 // net/http waits for it before it ends the request.
 func (a *answer) unblock(body *replay) {
 	if body != nil && !body.ended.Load() {
-		_ = http.NewResponseController(a.writer).SetReadDeadline(time.Unix(1, 0))
+		_ = http.NewResponseController(a.writer).SetReadDeadline(past)
 	}
 }
 
--- a/front/parse.go
+++ b/front/parse.go
@@ -250,6 +250,11 @@
 	// deadline left behind would end an answer that takes longer.
 	settle := func() { _ = rc.SetReadDeadline(time.Time{}) }
 	if r.ContentLength < 0 || r.ContentLength > smallBody {
+		// Otherwise net/http drops what it has not read of the body when the
+		// answer starts, and the server would take the rest for the whole.
+		if err := rc.EnableFullDuplex(); err != nil {
+			return nil, failed(pollenlatch.BadRequest, http.StatusInternalServerError, "read the body during the answer: %v", err)
+		}
 		body := newReplay(http.MaxBytesReader(w, r.Body, s.cfg.MaxBody))
 		body.onEnd = settle
 		q.Body = body.rewind()
--- a/front/replay.go
+++ b/front/replay.go
@@ -57,10 +57,10 @@
 // of an earlier attempt may still wait for the caller while a later attempt
 // starts; what it gets is kept for that attempt.
 type replay struct {
-	onEnd func() // called once when src has ended or failed; may be nil
+	onEnd func() // called once at the end of src; may be nil
 	src   io.Reader
 	lost  atomic.Bool // more than replayBytes was read
-	ended atomic.Bool // nothing of the body is left
+	ended atomic.Bool // the whole body was read
 	turn  atomic.Int32
 
 	mu  sync.Mutex // held during a read of src
@@ -117,6 +117,8 @@
 	}
 	if err != nil {
 		r.err = err
+	}
+	if errors.Is(err, io.EOF) {
 		r.ended.Store(true)
 		if r.onEnd != nil {
 			r.onEnd()
--- a/front/server.go
+++ b/front/server.go
@@ -157,22 +157,24 @@
 	a := &answer{server: s, writer: w, start: now, method: r.Method}
 	defer a.record()
 	if n := s.conns.Load(); n > int64(s.cfg.MaxConns) {
-		w.Header().Set("Connection", "close")
 		f := failed(pollenlatch.Limited, http.StatusServiceUnavailable, "%d connections are open", n)
 		f.After = retryAfter
-		a.fail(f)
+		a.refuse(f)
 		return
 	}
 	q, f := s.parse(r, now)
-	if f != nil {
+	if f != nil && r.ContentLength == 0 {
 		a.fail(f)
 		return
 	}
+	if f != nil {
+		a.refuse(f)
+		return
+	}
 	a.request = q
 	body, f := s.readBody(w, r, q)
 	if f != nil {
-		w.Header().Set("Connection", "close")
-		a.fail(f)
+		a.refuse(f)
 		return
 	}
 	defer a.unblock(body)
