--- /dev/null
+++ b/admit/simulate_test.go
@@ -0,0 +1,70 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+)
+
+func simulation(d Discipline, load float64, queue int) Simulation {
+	return Simulation{
+		Discipline: d, Seed: 1, Slots: 10, Queue: queue, Service: 5 * time.Millisecond,
+		Timeout: 100 * time.Millisecond, Load: load, Urgent: 0.2, Length: 60 * time.Second,
+	}
+}
+
+// BenchmarkDisciplines prints the table of docs/admit.md.
+func BenchmarkDisciplines(b *testing.B) {
+	for _, queue := range []int{100, 1000} {
+		for _, load := range []float64{0.5, 0.9, 1.5, 3} {
+			for _, d := range []Discipline{Oldest, Newest, Delay, NewestDelay} {
+				b.Run(fmt.Sprintf("queue=%d/load=%v/%v", queue, load, d), func(b *testing.B) {
+					var r map[pollenlatch.Class]ClassResult
+					for b.Loop() {
+						r = Simulate(simulation(d, load, queue))
+					}
+					for _, c := range []pollenlatch.Class{pollenlatch.Urgent, pollenlatch.Routine} {
+						name := c.String()
+						b.ReportMetric(100*r[c].Goodput(), name+"-good-%")
+						b.ReportMetric(float64(r[c].Late), name+"-late")
+						b.ReportMetric(float64(r[c].Refusal)/1e6, name+"-refusal-ms")
+						b.ReportMetric(float64(r[c].P50)/1e6, name+"-p50-ms")
+						b.ReportMetric(float64(r[c].P99)/1e6, name+"-p99-ms")
+						b.ReportMetric(float64(r[c].P999)/1e6, name+"-p99.9-ms")
+					}
+				})
+			}
+		}
+	}
+}
+
+// A simulation that differs from run to run would not support the choice.
+func TestSimulateIsFixed(t *testing.T) {
+	s := simulation(Newest, 1.5, 100)
+	s.Length = 2 * time.Second
+	require.Equal(t, Simulate(s), Simulate(s))
+	for _, r := range Simulate(s) {
+		require.Equal(t, r.Arrived, r.Good+r.Late+r.Dropped)
+	}
+}
+
+// Under overload the chosen discipline must keep urgent work whole, waste no
+// more runs than first in first out, and refuse sooner than the timeout.
+func TestChosenDiscipline(t *testing.T) {
+	for _, load := range []float64{1.5, 3} {
+		s := simulation(NewestDelay, load, 1000)
+		s.Length = 5 * time.Second
+		chosen := Simulate(s)
+		s.Discipline = Oldest
+		oldest := Simulate(s)
+		require.Equal(t, 1.0, chosen[pollenlatch.Urgent].Goodput())
+		routine := chosen[pollenlatch.Routine]
+		require.Greater(t, routine.Goodput(), oldest[pollenlatch.Routine].Goodput())
+		require.Less(t, routine.Late, oldest[pollenlatch.Routine].Late)
+		require.Less(t, routine.Refusal, s.Timeout)
+	}
+}
