once: add idempotency records

Cause: a repeat of a claim or charge must get the first answer, never a second run. Change: add package once: first run, waiting repeats, conflicts by digest, unknown after an unknown outcome, bounds, expiry, export and import of a shard's records. At the bound of bytes answers are dropped, at the bound of records new requests are refused as not run.

--- /dev/null
+++ b/once/once_test.go
@@ -0,0 +1,345 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pollenlatch"
+)
+
+var shard = pollenlatch.Shard{Service: "claims", Range: 3}
+
+func request(key, body string) *pollenlatch.Request {
+	return &pollenlatch.Request{
+		RequestHead: pollenlatch.RequestHead{
+			Service: "claims", Key: "lot-1", Caller: "mender", Method: "POST", URI: "/claim",
+			Length: int64(len(body)), Idempotency: key, Attempt: 1, Shard: shard, Fence: 20,
+		},
+		Deadline: time.Now().Add(time.Second),
+		Body:     strings.NewReader(body),
+	}
+}
+
+func begin(t *testing.T, s *Store, r *pollenlatch.Request) *Run {
+	t.Helper()
+	run, resp, err := s.Begin(t.Context(), r, Rule{})
+	require.NoError(t, err)
+	require.Nil(t, resp)
+	require.NotNil(t, run)
+	return run
+}
+
+func response(body string) *pollenlatch.Response {
+	return &pollenlatch.Response{
+		ResponseHead: pollenlatch.ResponseHead{Status: 201, Length: int64(len(body)), Header: []pollenlatch.Header{{Name: "X-A", Value: "b"}}},
+		Body:         io.NopCloser(strings.NewReader(body)),
+	}
+}
+
+// complete runs a request to its end.
+func complete(t *testing.T, s *Store, r *pollenlatch.Request, body string) {
+	t.Helper()
+	run := begin(t, s, r)
+	run.Start()
+	_, err := io.ReadAll(run.Body())
+	require.NoError(t, err)
+	resp := run.Response(response(body))
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+}
+
+func requireAnswer(t *testing.T, s *Store, r *pollenlatch.Request, body string) {
+	t.Helper()
+	run, resp, err := s.Begin(t.Context(), r, Rule{})
+	require.NoError(t, err)
+	require.Nil(t, run, "the request would run again")
+	got, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, body, string(got))
+	require.Equal(t, response(body).ResponseHead, resp.ResponseHead)
+}
+
+func requireFailure(t *testing.T, err error, o pollenlatch.Outcome, why pollenlatch.Reason) {
+	t.Helper()
+	var f *pollenlatch.Failure
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, []string{o.String(), string(why)}, []string{f.Outcome.String(), string(f.Reason)}, f.Detail)
+}
+
+func refused(t *testing.T, s *Store, r *pollenlatch.Request, rule Rule, o pollenlatch.Outcome, why pollenlatch.Reason) {
+	t.Helper()
+	run, _, err := s.Begin(t.Context(), r, rule)
+	require.Nil(t, run, "the request would run")
+	requireFailure(t, err, o, why)
+}
+
+// A repeat that runs again is a doubled claim; one that gets another request's
+// answer hides that its own never ran.
+func TestRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Answer: 100})
+		complete(t, s, request("a", "bale 1"), "claimed")
+		requireAnswer(t, s, request("a", "bale 1"), "claimed")
+		requireAnswer(t, s, request("a", "bale 1"), "claimed")
+		refused(t, s, request("a", "bale 2"), Rule{}, pollenlatch.NotRun, pollenlatch.Conflict)
+		other := request("a", "bale 1")
+		other.URI = "/cancel"
+		refused(t, s, other, Rule{}, pollenlatch.NotRun, pollenlatch.Conflict)
+		other = request("a", "bale 1")
+		other.Caller = "cooperative"
+		complete(t, s, other, "theirs")
+
+		complete(t, s, request("long", "x"), strings.Repeat("y", 101))
+		refused(t, s, request("long", "x"), Rule{}, pollenlatch.Ran, pollenlatch.Repeat)
+		run := begin(t, s, request("empty", "x"))
+		require.NoError(t, run.Response(response("")).Body.Close())
+		requireAnswer(t, s, request("empty", "x"), "")
+
+		<-time.After(DefaultTTL)
+		complete(t, s, request("a", "bale 2"), "claimed again")
+		n, _ := s.Size()
+		require.Equal(t, 1, n, "records kept longer than their time")
+	})
+}
+
+// Every end of the first run must leave what is true of it: a record left
+// behind blocks the key, a record removed lets the request run twice.
+func TestEnds(t *testing.T) {
+	cut := errors.New("cut")
+	for _, c := range []struct {
+		name string
+		end  func(run *Run)
+		o    pollenlatch.Outcome // of the repeat; NotRun means that it runs
+	}{
+		{"not run", func(run *Run) { run.Fail(pollenlatch.NotRun) }, pollenlatch.NotRun},
+		{"unknown", func(run *Run) { run.Fail(pollenlatch.Unknown) }, pollenlatch.Unknown},
+		{"unknown stays", func(run *Run) {
+			run.Fail(pollenlatch.Unknown)
+			run.Fail(pollenlatch.NotRun)
+		}, pollenlatch.Unknown},
+		{"body closed early", func(run *Run) { _ = run.Response(response("claimed")).Body.Close() }, pollenlatch.Unknown},
+		{"body cut", func(run *Run) {
+			resp := response("claimed")
+			resp.Body = io.NopCloser(io.MultiReader(resp.Body, failing{cut}))
+			_, _ = io.ReadAll(run.Response(resp).Body)
+		}, pollenlatch.Unknown},
+		{"body cut with a wrapped EOF", func(run *Run) {
+			resp := response("claimed")
+			resp.Body = io.NopCloser(io.MultiReader(resp.Body, failing{fmt.Errorf("cut: %w", io.EOF)}))
+			_, _ = io.ReadAll(run.Response(resp).Body)
+		}, pollenlatch.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Config{})
+				run := begin(t, s, request("a", "x"))
+				waiting := make(chan error, 1)
+				go func() {
+					again, _, err := s.Begin(t.Context(), request("a", "x"), Rule{})
+					if again != nil {
+						again.Fail(pollenlatch.NotRun)
+					}
+					waiting <- err
+				}()
+				synctest.Wait()
+				require.Empty(t, waiting, "the repeat did not wait for the first run")
+				c.end(run)
+				err := <-waiting
+				if c.o == pollenlatch.NotRun {
+					require.NoError(t, err)
+					n, _ := s.Size()
+					require.Zero(t, n)
+					return
+				}
+				requireFailure(t, err, c.o, pollenlatch.Repeat)
+				refused(t, s, request("a", "x"), Rule{}, c.o, pollenlatch.Repeat)
+			})
+		})
+	}
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+// A repeat that gives up waiting must not say that nothing ran.
+func TestWaitingEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		begin(t, s, request("a", "x"))
+		refused(t, s, request("a", "x"), Rule{}, pollenlatch.Unknown, pollenlatch.Expired)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, _, err := s.Begin(ctx, request("a", "x"), Rule{})
+		requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Cancelled)
+	})
+}
+
+// A repeat that runs because its record was lost with the former owner is a
+// doubled charge; refusing more than that keeps a key without service.
+func TestTakenOver(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		attempt uint32
+		rule    Rule
+		wait    time.Duration
+		runs    bool
+	}{
+		{"first attempt", 1, Rule{NoRecords: true, Fence: 20}, 0, true},
+		{"repeat", 2, Rule{NoRecords: true, Fence: 20}, 0, false},
+		{"repeat with records", 2, Rule{Fence: 20}, 0, true},
+		{"repeat when records would be gone", 2, Rule{NoRecords: true, Fence: 20}, DefaultTTL, true},
+		{"repeat after another loss", 2, Rule{NoRecords: true, Fence: 21}, DefaultTTL, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(Config{})
+				first, _, err := s.Begin(t.Context(), request("b", "x"), Rule{NoRecords: true, Fence: 20})
+				require.NoError(t, err)
+				first.Fail(pollenlatch.NotRun)
+				<-time.After(c.wait)
+				r := request("a", "x")
+				r.Attempt = c.attempt
+				if !c.runs {
+					refused(t, s, r, c.rule, pollenlatch.Unknown, pollenlatch.Repeat)
+					return
+				}
+				run, _, err := s.Begin(t.Context(), r, c.rule)
+				require.NoError(t, err)
+				require.NotNil(t, run)
+			})
+		})
+	}
+}
+
+// Memory without a bound ends the daemon; a record dropped to save memory lets
+// a request run twice.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Records: 3, Bytes: 30})
+		for _, key := range []string{"a", "b", "c"} {
+			complete(t, s, request(key, "x"), "claimed 1234") // 16 bytes with the header
+			_, bytes := s.Size()
+			require.LessOrEqual(t, bytes, 30)
+		}
+		refused(t, s, request("a", "x"), Rule{}, pollenlatch.Ran, pollenlatch.Repeat)
+		requireAnswer(t, s, request("c", "x"), "claimed 1234")
+		refused(t, s, request("d", "x"), Rule{}, pollenlatch.NotRun, pollenlatch.QueueFull)
+		<-time.After(DefaultTTL)
+		complete(t, s, request("d", "x"), "claimed")
+	})
+}
+
+// Two concurrent repeats that both run are the doubled charge that the package
+// exists to prevent.
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ends := rapid.SliceOfN(rapid.IntRange(0, 2), 2, 12).Draw(rt, "ends")
+		synctest.Test(t, func(t *testing.T) {
+			s := New(Config{})
+			var mu sync.Mutex
+			runs := 0
+			var wg sync.WaitGroup
+			for i, end := range ends {
+				wg.Go(func() {
+					<-time.After(time.Duration(i%3) * time.Millisecond)
+					run, resp, err := s.Begin(t.Context(), request("a", "x"), Rule{})
+					if run == nil {
+						require.True(t, resp != nil || err != nil)
+						return
+					}
+					<-time.After(5 * time.Millisecond)
+					if end == 0 {
+						run.Fail(pollenlatch.NotRun)
+						return
+					}
+					mu.Lock()
+					runs++
+					mu.Unlock()
+					if end == 1 {
+						run.Fail(pollenlatch.Unknown)
+						return
+					}
+					_, _ = io.ReadAll(run.Response(response("claimed")).Body)
+				})
+			}
+			wg.Wait()
+			require.LessOrEqual(t, runs, 1)
+		})
+	})
+}
+
+// A repeat that arrives after a planned move must find its first run at the
+// new owner.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from, to := New(Config{}), New(Config{})
+		complete(t, from, request("a", "x"), "claimed")
+		begin(t, from, request("b", "x")).Fail(pollenlatch.Unknown)
+		begin(t, from, request("started", "x")).Start()
+		begin(t, from, request("queued", "x"))
+		hot := request("hot", "x")
+		hot.Key = "lot-2"
+		complete(t, from, hot, "claimed")
+		<-time.After(DefaultTTL - time.Second)
+
+		data, err := from.Export(shard)
+		require.NoError(t, err)
+		require.ErrorIs(t, to.Import(pollenlatch.Shard{Service: "claims", Range: 4}, data), ErrShard)
+		require.Error(t, to.Import(shard, data[:len(data)-1]))
+		n, _ := to.Size()
+		require.Zero(t, n, "a part of a refused hand-over was kept")
+		require.ErrorIs(t, New(Config{Records: 3}).Import(shard, data), ErrNoRoom)
+
+		require.NoError(t, to.Import(shard, data))
+		requireAnswer(t, to, request("a", "x"), "claimed")
+		refused(t, to, request("a", "y"), Rule{}, pollenlatch.NotRun, pollenlatch.Conflict)
+		refused(t, to, request("b", "x"), Rule{}, pollenlatch.Unknown, pollenlatch.Repeat)
+		refused(t, to, request("started", "x"), Rule{}, pollenlatch.Unknown, pollenlatch.Repeat)
+		begin(t, to, request("queued", "x"))
+		<-time.After(time.Second)
+		begin(t, to, request("a", "x")) // its time is over here, too
+
+		single := New(Config{})
+		data, err = from.Export(pollenlatch.Shard{Service: "claims", Range: 3, Key: "lot-2"})
+		require.NoError(t, err)
+		require.NoError(t, single.Import(pollenlatch.Shard{Service: "claims", Range: 3, Key: "lot-2"}, data))
+		n, _ = single.Size()
+		require.Zero(t, n, "all had expired")
+
+		from.Drop(shard)
+		n, _ = from.Size()
+		require.Equal(t, 2, n, "only what still runs is kept")
+	})
+}
+
+// A hand-over that exceeds its bound would hold up lease renewals.
+func TestExportBound(t *testing.T) {
+	s := New(Config{})
+	for n := range 20 {
+		complete(t, s, request(fmt.Sprint(n), "x"), strings.Repeat("y", DefaultAnswer))
+	}
+	data, err := s.Export(shard)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(data), MaxExport)
+	to := New(Config{})
+	require.NoError(t, to.Import(shard, data))
+	refused(t, to, request("0", "x"), Rule{}, pollenlatch.Ran, pollenlatch.Repeat)
+	requireAnswer(t, to, request("19", "x"), strings.Repeat("y", DefaultAnswer))
+	for n := range MaxExport / recordOverhead {
+		begin(t, s, request(fmt.Sprint("many", n), "")).Fail(pollenlatch.Unknown)
+	}
+	_, err = s.Export(shard)
+	require.ErrorIs(t, err, ErrTooLarge)
+}
