serve: add the pipeline of the owner's daemon

Cause: ownership, idempotency record, admission and exchange must be done in one order, so that a hand-over sees every request until its record is complete. Change: add package serve. A request routed by another state runs if shard and fence still match; one routed by a newer state waits up to 200 ms for it. relay: an answer to HEAD keeps the length that its head states. Conclusion: go test -race -count=5 ./serve passes; no figures were measured.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -220,11 +220,13 @@
 	}
 	head := pollenlatch.ResponseHead{
 		Status: int32(resp.StatusCode()),
-		Header: responseHeader(&resp.Header, resp.SkipBody),
+		Header: responseHeader(&resp.Header),
 		Length: int64(max(resp.Header.ContentLength(), -1)),
 	}
 	if empty {
-		head.Length = 0
+		if !resp.SkipBody { // an answer to HEAD keeps the length that GET would have
+			head.Length = 0
+		}
 		b.finish(nil)
 		return &pollenlatch.Response{ResponseHead: head, Body: http.NoBody}, nil
 	}
--- a/relay/header.go
+++ b/relay/header.go
@@ -109,7 +109,7 @@
 }
 
 // responseHeader returns the headers that are passed on.
-func responseHeader(h *fasthttp.ResponseHeader, keepLength bool) []pollenlatch.Header {
+func responseHeader(h *fasthttp.ResponseHeader) []pollenlatch.Header {
 	var listed map[string]bool
 	if v := h.Peek("Connection"); len(v) > 0 {
 		listed = connectionTokens(nil, string(v))
@@ -117,10 +117,6 @@
 	out := make([]pollenlatch.Header, 0, h.Len())
 	for k, v := range h.All() {
 		name := http.CanonicalHeaderKey(string(k))
-		if name == "Content-Length" && keepLength {
-			out = append(out, pollenlatch.Header{Name: name, Value: string(v)})
-			continue
-		}
 		if !hopByHop[name] && !listed[name] {
 			out = append(out, pollenlatch.Header{Name: name, Value: string(v)})
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -467,7 +467,7 @@
 		{"empty", http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", 0, true},
 		{"chunked", http.MethodGet, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", -1, true},
 		{"until closed", http.MethodGet, "HTTP/1.1 200 OK\r\n\r\nhello", "hello", -1, false},
-		{"head", http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "", 0, true},
+		{"head", http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "", 5, true},
 		{"no content", http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n", "", 0, true},
 		{"interim answer", http.MethodGet, "HTTP/1.1 103 Early\r\n\r\n" + okAnswer, "hello", 5, true},
 		{"server closes", http.MethodGet, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", "hello", 5, false},
--- /dev/null
+++ b/serve/serve.go
@@ -0,0 +1,171 @@
+// Package serve is the pipeline of the owner's daemon: ownership, idempotency
+// record, admission, and the exchange with the server beside it.
+package serve
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/once"
+)
+
+const (
+	// DefaultCatchUp bounds the wait of a request that was routed by a newer
+	// state than this daemon holds. Deltas follow a commit within a heartbeat
+	// or two of 40 ms.
+	DefaultCatchUp = 200 * time.Millisecond
+
+	retryAfter   = 1 // seconds
+	statusClosed = 499
+)
+
+// Config connects the parts of the pipeline. Control, Gate, Exchanger, Records
+// and Endpoint are required.
+type Config struct {
+	Control   pollenlatch.Control
+	Gate      pollenlatch.Gate
+	Exchanger pollenlatch.Exchanger
+	Records   *once.Store
+	// Endpoint returns what this daemon knows of the server beside it.
+	Endpoint func() (e pollenlatch.Endpoint, ok bool)
+	// Suspect is called when the server failed a request: it should be probed.
+	Suspect func()
+	Front   string        // callers' address of this daemon, for answers
+	CatchUp time.Duration // 0 is DefaultCatchUp
+}
+
+// Server is a pollenlatch.Handler for requests of the server beside this
+// daemon. Use New.
+type Server struct {
+	cfg Config
+}
+
+// New returns the pipeline.
+func New(cfg Config) *Server {
+	if cfg.CatchUp == 0 {
+		cfg.CatchUp = DefaultCatchUp
+	}
+	if cfg.Suspect == nil {
+		cfg.Suspect = func() {}
+	}
+	return &Server{cfg: cfg}
+}
+
+// Handle runs one request. The request stays counted as in flight until the
+// body of the response has been read to its end or closed. The error is a
+// *pollenlatch.Failure.
+func (s *Server) Handle(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+	service, owner, err := s.owns(ctx, r)
+	if err != nil {
+		return nil, asFailure(err)
+	}
+	run, resp, err := s.begin(ctx, r, service, owner)
+	if err != nil {
+		return nil, asFailure(err)
+	}
+	if run == nil && resp != nil {
+		return resp, nil
+	}
+	resp, f := s.run(ctx, r, service, run)
+	if f != nil {
+		return nil, f
+	}
+	resp.Owner = s.cfg.Front
+	return resp, nil
+}
+
+// begin looks for an earlier run of the request. It returns neither a run nor
+// a response for requests that need no record.
+func (s *Server) begin(
+	ctx context.Context, r *pollenlatch.Request, service pollenlatch.Service, owner pollenlatch.Owner,
+) (*once.Run, *pollenlatch.Response, error) {
+	switch {
+	case r.Safe || r.Idempotency == "":
+		return nil, nil, nil
+	case !r.Sharded():
+		return nil, nil, refuse(pollenlatch.BadRequest, http.StatusBadRequest, "a request with an idempotency key must be routed by shard")
+	}
+	return s.cfg.Records.Begin(ctx, r, once.Rule{TTL: service.RecordTTL, Fence: owner.Fence, NoRecords: owner.NoRecords})
+}
+
+// run admits the request and exchanges it with the server. After a failure
+// nothing of it stays counted, and its record says what became of it.
+func (s *Server) run(
+	ctx context.Context, r *pollenlatch.Request, service pollenlatch.Service, run *once.Run,
+) (*pollenlatch.Response, *pollenlatch.Failure) {
+	fail := func(err error) *pollenlatch.Failure {
+		f := asFailure(err)
+		if run != nil {
+			run.Fail(f.Outcome)
+		}
+		return f
+	}
+	if f := s.available(r); f != nil {
+		return nil, fail(f)
+	}
+	release, err := s.cfg.Gate.Admit(ctx, pollenlatch.Work{
+		Service:  r.Service,
+		Caller:   r.Caller,
+		Class:    service.ClassOf(r.Caller, r.Kind),
+		Deadline: r.Deadline,
+	})
+	if err != nil {
+		return nil, fail(err)
+	}
+	pass, err := s.cfg.Control.Enter(r.Shard, r.Fence)
+	if err != nil {
+		release()
+		return nil, fail(err)
+	}
+	q := *r
+	if run != nil {
+		run.Start()
+		q.Body = run.Body()
+	}
+	resp, err := s.cfg.Exchanger.Exchange(ctx, &q, pass.Check)
+	if err != nil {
+		// The record comes first: a hand-over exports it once nothing is in flight.
+		f := fail(err)
+		pass.Exit()
+		release()
+		s.suspect(f)
+		return nil, f
+	}
+	if run != nil {
+		resp = run.Response(resp)
+	}
+	return counted(resp, pass, release), nil
+}
+
+// suspect asks for a probe after failures that a lost server causes.
+func (s *Server) suspect(f *pollenlatch.Failure) {
+	if f.Reason == pollenlatch.Unreachable || f.Reason == pollenlatch.Broken {
+		s.cfg.Suspect()
+	}
+}
+
+func refuse(why pollenlatch.Reason, status int, detail string) *pollenlatch.Failure {
+	f := &pollenlatch.Failure{Outcome: pollenlatch.NotRun, Reason: why, Status: status, Detail: detail}
+	if status == http.StatusServiceUnavailable {
+		f.After = retryAfter
+	}
+	return f
+}
+
+// asFailure returns err as a failure. A part that breaks its promise to return
+// one leaves the outcome open.
+func asFailure(err error) *pollenlatch.Failure {
+	var f *pollenlatch.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &pollenlatch.Failure{
+		Outcome: pollenlatch.Unknown,
+		Reason:  pollenlatch.Broken,
+		Status:  http.StatusBadGateway,
+		Detail:  err.Error(),
+	}
+}
--- /dev/null
+++ b/serve/serve_test.go
@@ -0,0 +1,322 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+	"pollenlatch/admit"
+	"pollenlatch/once"
+)
+
+var shard = pollenlatch.Shard{Service: "claims", Range: 3}
+
+func notRun(why pollenlatch.Reason, status int) error {
+	return &pollenlatch.Failure{Outcome: pollenlatch.NotRun, Reason: why, Status: status}
+}
+
+// state is a View with one service and one owner.
+type state struct {
+	pollenlatch.View
+	version pollenlatch.Version
+	service pollenlatch.Service
+	owner   pollenlatch.Owner
+}
+
+func (s state) Version() pollenlatch.Version { return s.version }
+
+func (s state) Service(name string) (pollenlatch.Service, bool) {
+	return s.service, name == s.service.Name
+}
+
+func (s state) Owner(service, _ string) (pollenlatch.Owner, bool) {
+	return s.owner, service == s.service.Name
+}
+
+// control is a Control that this instance, number 1, serves with.
+type control struct {
+	state    state
+	changed  chan struct{}
+	serving  error
+	enter    error
+	check    error
+	inFlight atomic.Int64
+}
+
+func (c *control) Self() pollenlatch.InstanceID { return 1 }
+func (c *control) View() pollenlatch.View       { return c.state }
+func (c *control) Changed() <-chan struct{}     { return c.changed }
+func (c *control) Serving() error               { return c.serving }
+
+func (c *control) Enter(pollenlatch.Shard, pollenlatch.Fence) (pollenlatch.Pass, error) {
+	if c.enter != nil {
+		return nil, c.enter
+	}
+	c.inFlight.Add(1)
+	return pass{c}, nil
+}
+
+type pass struct{ c *control }
+
+func (p pass) Check() error { return p.c.check }
+func (p pass) Exit()        { p.c.inFlight.Add(-1) }
+
+// exchanger answers "claimed", or fails.
+type exchanger struct {
+	err  error
+	cut  error // after the body
+	runs int
+}
+
+func (x *exchanger) Exchange(_ context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
+	if err := check(); err != nil {
+		return nil, err
+	}
+	x.runs++
+	if r.Body != nil {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	if x.err != nil {
+		return nil, x.err
+	}
+	var b io.Reader = strings.NewReader("claimed")
+	if x.cut != nil {
+		b = io.MultiReader(b, failing{x.cut})
+	}
+	return &pollenlatch.Response{ResponseHead: pollenlatch.ResponseHead{Status: 200, Length: -1}, Body: io.NopCloser(b)}, nil
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+// bench is the pipeline with its parts.
+type bench struct {
+	control  *control
+	gate     *admit.Gate
+	exchange *exchanger
+	records  *once.Store
+	endpoint pollenlatch.Endpoint
+	suspects int
+	server   *Server
+}
+
+func newBench() *bench {
+	b := &bench{
+		control: &control{state: state{
+			version: 30,
+			service: pollenlatch.Service{Name: "claims", Keyed: true, Bits: 4},
+			owner:   pollenlatch.Owner{Shard: shard, Instance: 1, Fence: 20},
+		}, changed: make(chan struct{})},
+		gate:     admit.New(admit.Config{}),
+		exchange: &exchanger{},
+		records:  once.New(once.Config{}),
+		endpoint: pollenlatch.Endpoint{Service: "claims", Ready: true},
+	}
+	b.gate.SetSlots(1)
+	b.server = New(Config{
+		Control: b.control, Gate: b.gate, Exchanger: b.exchange, Records: b.records, Front: "10.0.0.1:80",
+		Endpoint: func() (pollenlatch.Endpoint, bool) { return b.endpoint, true },
+		Suspect:  func() { b.suspects++ },
+	})
+	return b
+}
+
+func request() *pollenlatch.Request {
+	return &pollenlatch.Request{
+		RequestHead: pollenlatch.RequestHead{
+			Service: "claims", Key: "lot-1", Caller: "mender", Method: "POST", URI: "/", Length: 3,
+			Idempotency: "a", Attempt: 1, Version: 30, Shard: shard, Fence: 20,
+		},
+		Deadline: time.Now().Add(time.Second),
+		Body:     strings.NewReader("abc"),
+	}
+}
+
+func (b *bench) call(r *pollenlatch.Request) (string, error) {
+	resp, err := b.server.Handle(context.Background(), r)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return string(body), errors.Join(err, resp.Body.Close())
+}
+
+func (b *bench) requireNothingCounted(t *testing.T) {
+	t.Helper()
+	running, waiting := b.gate.Load()
+	require.Equal(t, []int64{0, 0, 0}, []int64{int64(running), int64(waiting), b.control.inFlight.Load()},
+		"running, waiting and in flight after the end")
+}
+
+// A wrong outcome makes a caller repeat what ran or give up what did not, and
+// a request that stays counted holds up hand-overs or takes a slot for good.
+// These are the rows of the outcome table for the owner's daemon.
+func TestOutcomes(t *testing.T) {
+	unknown := &pollenlatch.Failure{Outcome: pollenlatch.Unknown, Reason: pollenlatch.Broken, Status: 502}
+	for _, c := range []struct {
+		name    string
+		change  func(b *bench, r *pollenlatch.Request)
+		outcome pollenlatch.Outcome
+		why     pollenlatch.Reason
+		status  int
+	}{
+		{"no lease", func(b *bench, _ *pollenlatch.Request) { b.control.serving = notRun(pollenlatch.NoLease, 503) }, pollenlatch.NotRun, pollenlatch.NoLease, 503},
+		{"no service", func(_ *bench, r *pollenlatch.Request) { r.Service = "depot" }, pollenlatch.NotRun, pollenlatch.NoService, 404},
+		{"no owner's shard", func(_ *bench, r *pollenlatch.Request) { r.Shard = pollenlatch.Shard{} }, pollenlatch.NotRun, pollenlatch.BadRequest, 400},
+		{"other owner", func(b *bench, _ *pollenlatch.Request) { b.control.state.owner.Instance = 2 }, pollenlatch.NotRun, pollenlatch.WrongOwner, 503},
+		{"other fence", func(_ *bench, r *pollenlatch.Request) { r.Fence = 19 }, pollenlatch.NotRun, pollenlatch.WrongOwner, 503},
+		{"key has a record of its own", func(b *bench, _ *pollenlatch.Request) { b.control.state.owner.Key = "lot-1" }, pollenlatch.NotRun, pollenlatch.WrongOwner, 503},
+		{"newer state of the sender", func(_ *bench, r *pollenlatch.Request) { r.Version, r.Fence = 31, 31 }, pollenlatch.NotRun, pollenlatch.Versions, 503},
+		{"server of another service", func(b *bench, _ *pollenlatch.Request) { b.endpoint.Service = "depot" }, pollenlatch.NotRun, pollenlatch.NoEndpoint, 503},
+		{"server not ready", func(b *bench, _ *pollenlatch.Request) { b.endpoint.Ready = false }, pollenlatch.NotRun, pollenlatch.NoEndpoint, 503},
+		{"no server", func(b *bench, _ *pollenlatch.Request) { b.gate.SetSlots(0) }, pollenlatch.NotRun, pollenlatch.NoEndpoint, 503},
+		{"deadline passes in the queue", func(b *bench, _ *pollenlatch.Request) {
+			release, _ := b.gate.Admit(context.Background(), pollenlatch.Work{})
+			time.AfterFunc(2*time.Second, release)
+		}, pollenlatch.NotRun, pollenlatch.Expired, 504},
+		{"moving", func(b *bench, _ *pollenlatch.Request) { b.control.enter = notRun(pollenlatch.NoOwner, 503) }, pollenlatch.NotRun, pollenlatch.NoOwner, 503},
+		{"check fails", func(b *bench, _ *pollenlatch.Request) { b.control.check = notRun(pollenlatch.NoLease, 503) }, pollenlatch.NotRun, pollenlatch.NoLease, 503},
+		{"fence refused", func(b *bench, _ *pollenlatch.Request) { b.exchange.err = notRun(pollenlatch.Refused, 503) }, pollenlatch.NotRun, pollenlatch.Refused, 503},
+		{"connection lost", func(b *bench, _ *pollenlatch.Request) { b.exchange.err = unknown }, pollenlatch.Unknown, pollenlatch.Broken, 502},
+		{"exchange breaks its promise", func(b *bench, _ *pollenlatch.Request) { b.exchange.err = errors.New("x") }, pollenlatch.Unknown, pollenlatch.Broken, 502},
+		{"answer cut", func(b *bench, _ *pollenlatch.Request) { b.exchange.cut = unknown }, pollenlatch.Unknown, pollenlatch.Broken, 502},
+		{"repeat on a range without records", func(b *bench, r *pollenlatch.Request) {
+			b.control.state.owner.NoRecords = true
+			r.Attempt = 2
+		}, pollenlatch.Unknown, pollenlatch.Repeat, 409},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				r := request()
+				c.change(b, r)
+				_, err := b.call(r)
+				var f *pollenlatch.Failure
+				require.ErrorAs(t, err, &f)
+				require.Equal(t, []any{c.outcome, c.why, c.status}, []any{f.Outcome, f.Reason, f.Status}, f.Detail)
+				<-time.After(2 * time.Second)
+				b.requireNothingCounted(t)
+				records, _ := b.records.Size()
+				if c.outcome == pollenlatch.NotRun {
+					require.Zero(t, records, "a record of a request that did not run")
+				} else if c.why == pollenlatch.Broken {
+					require.Equal(t, 1, b.suspects+boolInt(b.exchange.cut != nil))
+					_, err = b.call(request())
+					require.ErrorAs(t, err, &f)
+					require.Equal(t, pollenlatch.Repeat, f.Reason, "the repeat ran")
+					require.Equal(t, 1, b.exchange.runs)
+				}
+			})
+		})
+	}
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// A request ends too early for a hand-over when it is not counted while its
+// answer is read, and its repeat must get the same answer.
+func TestAnswer(t *testing.T) {
+	b := newBench()
+	resp, err := b.server.Handle(t.Context(), request())
+	require.NoError(t, err)
+	require.Equal(t, "10.0.0.1:80", resp.Owner)
+	require.EqualValues(t, 1, b.control.inFlight.Load())
+	got, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "claimed", string(got))
+	b.requireNothingCounted(t)
+	require.NoError(t, resp.Body.Close())
+	b.requireNothingCounted(t)
+
+	b.endpoint.Ready = false // the record answers without the server
+	again, err := b.call(request())
+	require.NoError(t, err)
+	require.Equal(t, "claimed", again)
+	require.Equal(t, 1, b.exchange.runs)
+}
+
+// A body that nobody reads must not hold the slot after it is closed.
+func TestClosedEarly(t *testing.T) {
+	b := newBench()
+	resp, err := b.server.Handle(t.Context(), request())
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	b.requireNothingCounted(t)
+}
+
+// A safe request needs no record: it may run as often as it likes.
+func TestSafe(t *testing.T) {
+	b := newBench()
+	for range 2 {
+		r := request()
+		r.Safe = true
+		_, err := b.call(r)
+		require.NoError(t, err)
+	}
+	require.Equal(t, 2, b.exchange.runs)
+	records, _ := b.records.Size()
+	require.Zero(t, records)
+}
+
+// A request routed by an older state whose shard and fence still match must
+// run, and one routed by a newer state must wait for that state to arrive.
+func TestVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		r := request()
+		r.Version = 3
+		_, err := b.call(r)
+		require.NoError(t, err)
+
+		b = newBench()
+		r = request()
+		r.Version, r.Fence = 31, 31
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.call(r)
+			done <- err
+		}()
+		synctest.Wait()
+		require.Empty(t, done)
+		b.control.state.version, b.control.state.owner.Fence = 31, 31
+		close(b.control.changed)
+		require.NoError(t, <-done)
+	})
+}
+
+// A leaving server that gets new work delays its end; keyed work has nowhere
+// else to go until its range has moved.
+func TestDraining(t *testing.T) {
+	b := newBench()
+	b.endpoint.Draining = true
+	_, err := b.call(request())
+	require.NoError(t, err)
+	b.control.state.service.Keyed = false
+	r := request()
+	r.Shard, r.Idempotency = pollenlatch.Shard{}, ""
+	_, err = b.call(r)
+	var f *pollenlatch.Failure
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, pollenlatch.Draining, f.Reason)
+	b.endpoint.Draining = false
+	_, err = b.call(r)
+	require.NoError(t, err)
+	r.Idempotency = "b"
+	_, err = b.call(r)
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, pollenlatch.BadRequest, f.Reason, "a record on no shard cannot be found again")
+}
