Learn restart times and correct load reports of another scale

Change: an owner that stopped gracefully is waited for only when the learned restart time costs less than the churn (one move = 0.2 s of unavailability at equal weights). A report whose ranges all changed by the same factor, unlike the other endpoints', is scaled back. New endpoints settle for longer when churn weighs more.

--- a/plan/balance.go
+++ b/plan/balance.go
@@ -103,7 +103,7 @@
 // options returns the shards of an endpoint that may move, the busiest first:
 // ranges without their hot keys' part, and hot keys alone.
 func (r *round) options(c *candidate) []orphan {
-	e := c.track.shards(r.svc.Name, r.book.index.count(c.id))
+	e := c.track.shards(r.svc.Name, r.book.index.count(c.id), r.in.Now)
 	var list []orphan
 	own := make(map[string]bool)
 	owns := make(map[pollenlatch.Range]pollenlatch.Owner)
@@ -140,8 +140,8 @@
 // relief returns the endpoint that should take a shard of an overloaded one:
 // it must stay below both the owner's load and the mean with its slack.
 func (r *round) relief(c *candidate, o orphan) *candidate {
-	t := r.target(c.dc)
-	if t == nil || t == c || r.in.Now.Sub(t.track.since) < r.p.cfg.Settle {
+	t := r.settled(c.dc)
+	if t == nil || t == c {
 		return nil
 	}
 	x := r.relative(o.rate, 1)
@@ -151,6 +151,28 @@
 	return t
 }
 
+// settled returns the best target for balancing: one in the data centre unless
+// another has clearly less load.
+func (r *round) settled(dc string) *candidate {
+	wait := r.p.cfg.settle(r.w)
+	var best, home *candidate
+	for _, t := range r.usable {
+		if r.in.Now.Sub(t.track.since) < wait || r.damped(t) {
+			continue
+		}
+		if best == nil || less(t, best) {
+			best = t
+		}
+		if t.dc == dc && (home == nil || less(t, home)) {
+			home = t
+		}
+	}
+	if home != nil && home.load <= best.load+homeSlack {
+		return home
+	}
+	return best
+}
+
 // returnCool gives hot keys that have cooled back to their ranges.
 func (r *round) returnCool() {
 	for _, c := range r.usable {
@@ -161,7 +183,7 @@
 }
 
 func (r *round) cool(c *candidate, keys []pollenlatch.Owner) {
-	e := c.track.shards(r.svc.Name, c.count)
+	e := c.track.shards(r.svc.Name, c.count, r.in.Now)
 	room := r.p.cfg.Handovers - r.in.Busy[c.id]
 	for _, k := range keys {
 		rate := e.byKey[k.Key]
--- a/plan/lost.go
+++ b/plan/lost.go
@@ -77,7 +77,7 @@
 		}
 		e, ok := known[id]
 		if !ok {
-			e = t.shards(r.svc.Name, held[id])
+			e = t.shards(r.svc.Name, held[id], r.in.Now)
 			known[id] = e
 		}
 		lost[i].rate = e.of(lost[i].Shard)
@@ -139,10 +139,14 @@
 // waits reports whether the shards of an instance wait for its return.
 func (r *round) waits(id pollenlatch.InstanceID) bool {
 	t := r.p.tracks[id]
-	if t == nil || !t.draining {
+	if t == nil || (!t.draining && !t.returning) {
 		return false
 	}
-	return r.in.Now.Sub(t.since) < r.p.cfg.restartWait(r.w)
+	wait := r.p.cfg.restartWait(r.w, r.book.restart)
+	if t.returning {
+		return r.in.Now.Sub(t.goneAt) < wait
+	}
+	return wait > 0 && r.in.Now.Sub(t.since) < r.p.cfg.MaxWait
 }
 
 func (r *round) dcOf(id pollenlatch.InstanceID) string {
@@ -188,7 +192,7 @@
 	if t == nil {
 		t = &track{}
 	}
-	e := t.shards(r.svc.Name, len(shards))
+	e := t.shards(r.svc.Name, len(shards), r.in.Now)
 	for i := range shards {
 		shards[i].rate = e.of(shards[i].Shard)
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"pollenlatch"
 )
@@ -57,7 +58,7 @@
 func (p *Planner) service(in pollenlatch.Placement, s pollenlatch.Service) []pollenlatch.Move {
 	b := p.books[s.Name]
 	if b == nil {
-		b = &book{tokens: p.cfg.Budget, tokensAt: in.Now}
+		b = &book{tokens: p.cfg.Budget, tokensAt: in.Now, restart: p.cfg.Restart}
 		p.books[s.Name] = b
 	}
 	b.index.follow(in.View, s)
@@ -72,6 +73,7 @@
 type book struct {
 	index    index
 	known    []pollenlatch.InstanceID // endpoints at the last plan
+	restart  time.Duration            // expected time of a graceful restart
 	tokens   float64                  // share of load that balancing may move now
 	tokensAt pollenlatch.Mono
 	nextAt   pollenlatch.Mono // of balancing
--- a/plan/round.go
+++ b/plan/round.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"slices"
+	"time"
 
 	"pollenlatch"
 )
@@ -33,6 +34,7 @@
 	dcs     []string
 	rate    float64 // of the whole service
 	mean    float64 // rate of the mean usable endpoint
+	steady  int     // usable endpoints that are not damped
 	shards  float64 // mean number of shards of a usable endpoint
 	moves   []pollenlatch.Move
 }
@@ -44,7 +46,9 @@
 	}
 	known := make([]pollenlatch.InstanceID, 0, len(b.known))
 	listed := make(map[pollenlatch.InstanceID]bool, len(b.known))
-	for _, i := range in.View.Endpoints(s.Name) {
+	endpoints := in.View.Endpoints(s.Name)
+	r.reports(endpoints)
+	for _, i := range endpoints {
 		known = append(known, i.ID)
 		listed[i.ID] = true
 		r.endpoint(i)
@@ -55,16 +59,29 @@
 	return r
 }
 
+// reports takes the load reports of all endpoints.
+func (r *round) reports(endpoints []pollenlatch.Instance) {
+	var changes []change
+	for _, i := range endpoints {
+		t := r.p.tracks[i.ID]
+		if t == nil {
+			t = &track{}
+			r.p.tracks[i.ID] = t
+		}
+		if l, ok := r.in.Loads[i.ID]; ok {
+			if c, ok := t.report(l, r.in.Now); ok {
+				changes = append(changes, c)
+			}
+		}
+	}
+	rescale(changes, r.in.Now)
+}
+
 // endpoint files one endpoint of the service as usable or leaving.
 func (r *round) endpoint(i pollenlatch.Instance) {
 	t := r.p.tracks[i.ID]
-	if t == nil {
-		t = &track{}
-		r.p.tracks[i.ID] = t
-	}
-	t.observe(i, r.in.Now)
-	if l, ok := r.in.Loads[i.ID]; ok {
-		t.load = l
+	if d := t.observe(i, r.in.Now); d > 0 {
+		r.book.restart = time.Duration((1-learnShare)*float64(r.book.restart) + learnShare*float64(d))
 	}
 	if !i.Usable() || !r.allowed(i.DC) {
 		r.leaving = append(r.leaving, i.ID)
@@ -112,6 +129,9 @@
 	n := float64(len(r.usable))
 	for _, c := range r.usable {
 		r.rate += c.rate
+		if c.track.flaps(r.in.Now) < flapLimit {
+			r.steady++
+		}
 	}
 	for _, id := range r.leaving {
 		if t := r.p.tracks[id]; t != nil && r.book.index.count(id) > 0 {
@@ -153,16 +173,7 @@
 // damped reports whether an endpoint failed too often lately to get shards
 // while others are usable.
 func (r *round) damped(c *candidate) bool {
-	if c.track.flaps(r.in.Now) < flapLimit {
-		return false
-	}
-	steady := 0
-	for _, o := range r.usable {
-		if o.track.flaps(r.in.Now) < flapLimit {
-			steady++
-		}
-	}
-	return steady > 0
+	return r.steady > 0 && c.track.flaps(r.in.Now) >= flapLimit
 }
 
 // target returns the best endpoint for a shard whose last owner was in a data
--- a/plan/settings.go
+++ b/plan/settings.go
@@ -12,10 +12,10 @@
 	Batch     int           // most balancing moves of a service in one round; default 64
 	Handovers int           // hand-overs in progress of an owner that balancing may fill; default 8
 	Drains    int           // hand-overs in progress of a leaving owner; default 64
-	Settle    time.Duration // how long a new endpoint must be usable before balancing uses it; default 3 s
+	Settle    time.Duration // how long a new endpoint must be usable before balancing uses it, times churn over imbalance weight; default 5 s
 	Budget    float64       // share of a service's load that balancing may move in a minute; default 0.3
 	Lag       time.Duration // how long load reports lag behind a move; default 3 s
-	Restart   time.Duration // expected time of a graceful restart; default 5 s
+	Restart   time.Duration // time of a graceful restart, until one is seen; default 5 s
 	MaxWait   time.Duration // longest wait for the owner after a graceful stop; default 15 s
 	Hot       float64       // rate of a hot key relative to the mean endpoint's; default 0.1
 	Records   int           // most hot keys of a service with a record of their own; default 256
@@ -27,7 +27,8 @@
 	defaultBatch     = 64
 	defaultHandovers = 8
 	defaultDrains    = 64
-	defaultSettle    = 3 * time.Second
+	defaultSettle    = 5 * time.Second
+	maxSettle        = time.Minute
 	defaultBudget    = 0.3
 	defaultLag       = 3 * time.Second
 	defaultRestart   = 5 * time.Second
@@ -57,8 +58,25 @@
 	// handover is the time for which a planned move makes a shard wait.
 	handover = 30 * time.Millisecond
 	// away is the number of moves that waiting for a restarted owner saves:
-	// one to another endpoint and one back.
-	away = 2
+	// one to another endpoint and one back. A move of some load costs as much
+	// as churnTime of its unavailability at equal weights.
+	away      = 2
+	churnTime = 200 * time.Millisecond
+	// learnShare is the weight of the newest restart in the expected time.
+	learnShare = 0.5
+	// A report is of another scale than the one before when the rates of its
+	// ranges changed together by more than scaleStep while those of the other
+	// endpoints did not: load changes by key, not by server. It is judged only
+	// with scaleRanges ranges in both reports, scaleOthers endpoints, and once
+	// the endpoint has been usable for scaleAfter. The correction fades with
+	// the half-life scaleHalf. Quartiles of the changes further apart than
+	// scaleSpread are a change of the load and not of the scale.
+	scaleStep   = 1.5
+	scaleSpread = 1.25
+	scaleRanges = 4
+	scaleOthers = 3
+	scaleAfter  = 20 * time.Second
+	scaleHalf   = 10 * time.Minute
 	// safeUse is the utilisation of an endpoint's slots up to which lost
 	// shards are given to it at once; waveShare is the growth per wave beyond.
 	safeUse   = 0.8
@@ -107,15 +125,24 @@
 	return min(max(w.Churn/(w.Imbalance*horizon), minStart), maxStart)
 }
 
+// settle returns how long balancing leaves a new endpoint alone. In a rolling
+// restart the next endpoint's shards then go to it, and each moves once.
+func (s Settings) settle(w pollenlatch.Weights) time.Duration {
+	if w.Imbalance <= 0 {
+		return maxSettle
+	}
+	return min(time.Duration(float64(s.Settle)*w.Churn/w.Imbalance), maxSettle)
+}
+
 // restartWait returns how long shards wait for an owner that stopped
 // gracefully: not at all unless the expected restart costs less than the
 // churn, and then until the wait has cost as much as the churn.
-func (s Settings) restartWait(w pollenlatch.Weights) time.Duration {
+func (s Settings) restartWait(w pollenlatch.Weights, expected time.Duration) time.Duration {
 	wait := s.MaxWait
 	if w.Unavailable > 0 {
-		wait = min(wait, time.Duration(away*w.Churn/w.Unavailable*float64(time.Second)))
+		wait = min(wait, time.Duration(away*w.Churn/w.Unavailable*float64(churnTime)))
 	}
-	if wait < s.Restart {
+	if wait < expected {
 		return 0
 	}
 	return wait
--- a/plan/track.go
+++ b/plan/track.go
@@ -15,7 +15,12 @@
 	draining  bool             // it said that it leaves
 	penalty   float64          // times it became unusable without saying so, decayed
 	penaltyAt pollenlatch.Mono
+	alive     bool
+	returning bool             // it stopped gracefully and is not usable again yet
+	goneAt    pollenlatch.Mono // when it lost its lease
 	load      pollenlatch.Load // newest report
+	scale     float64          // of its reports relative to the truth; 0 is 1
+	scaledAt  pollenlatch.Mono
 	pending   []adjustment
 	seen      bool
 }
@@ -26,12 +31,21 @@
 	rate  float64 // requests a second
 }
 
-// observe updates the track from the view.
-func (t *track) observe(i pollenlatch.Instance, now pollenlatch.Mono) {
+// observe updates the track from the view. It returns the time of a graceful
+// restart that has just ended, or 0.
+func (t *track) observe(i pollenlatch.Instance, now pollenlatch.Mono) (restart time.Duration) {
 	usable := i.Usable()
 	if i.Endpoint != nil {
 		t.service = i.Endpoint.Service
 	}
+	if t.seen && t.alive && !i.Alive() {
+		t.goneAt, t.returning = now, t.draining
+	}
+	if t.returning && usable {
+		t.returning = false
+		restart = now.Sub(t.goneAt)
+	}
+	t.alive = i.Alive()
 	leaves := i.Endpoint != nil && i.Endpoint.Draining
 	switch {
 	case !t.seen:
@@ -50,6 +64,7 @@
 		t.since = now
 	}
 	t.draining = leaves
+	return restart
 }
 
 // flaps returns the decayed number of times that the endpoint failed.
@@ -59,7 +74,7 @@
 
 // rate returns the reported rate with the moves that it does not show yet.
 func (t *track) rate(now pollenlatch.Mono) float64 {
-	r := t.load.Rate
+	r := t.load.Rate / t.scaleNow(now)
 	kept := t.pending[:0]
 	for _, a := range t.pending {
 		if now < a.until {
@@ -89,7 +104,8 @@
 
 // shards estimates the rate of each shard of a service from the newest report.
 // owned is the number of shards.
-func (t *track) shards(service string, owned int) rates {
+func (t *track) shards(service string, owned int, now pollenlatch.Mono) rates {
+	scale := t.scaleNow(now)
 	r := rates{
 		byRange: make(map[pollenlatch.Range]float64, len(t.load.Ranges)),
 		byKey:   make(map[string]float64, len(t.load.Hot)),
@@ -97,17 +113,17 @@
 	sum := 0.0
 	for _, l := range t.load.Ranges {
 		if l.Service == service && l.Rate > 0 {
-			r.byRange[l.Range] = l.Rate
+			r.byRange[l.Range] = l.Rate / scale
 			sum += l.Rate
 		}
 	}
 	for _, h := range t.load.Hot {
 		if h.Service == service && h.Rate > 0 {
-			r.byKey[h.Key] = h.Rate
+			r.byKey[h.Key] = h.Rate / scale
 		}
 	}
 	if n := owned - len(r.byRange); n > 0 {
-		r.rest = max(t.load.Rate-sum, 0) / float64(n)
+		r.rest = max(t.load.Rate-sum, 0) / scale / float64(n)
 	}
 	return r
 }
--- a/trial/report.go
+++ b/trial/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 
 	"pollenlatch"
 	"pollenlatch/plan"
@@ -28,6 +29,9 @@
 	}
 }
 
+// workers bounds the simulations that run at once.
+const workers = 3
+
 // Row is the results of all methods in one trace.
 type Row struct {
 	Deployment Deployment
@@ -41,20 +45,37 @@
 	var rows []Row
 	for _, d := range []Deployment{Board(), Cratehaul()} {
 		for _, t := range Traces(len(d.DCs)) {
-			row := Row{Deployment: d, Trace: t.Name}
-			for _, m := range Methods() {
-				var sum Result
-				for seed := range n {
-					sum = sum.plus(Simulate(d, t, m.New(), uint64(seed+1)))
-				}
-				row.Results = append(row.Results, sum.times(1/float64(n)))
-			}
-			rows = append(rows, row)
+			rows = append(rows, Row{d, t.Name, make([]Result, len(Methods()))})
 		}
 	}
+	var wg sync.WaitGroup
+	free := make(chan struct{}, workers)
+	for i := range rows {
+		free <- struct{}{}
+		wg.Go(func() {
+			rows[i].run(n)
+			<-free
+		})
+	}
+	wg.Wait()
 	return rows
 }
 
+// run fills in the means over seeds 1 to n.
+func (r Row) run(n int) {
+	for _, t := range Traces(len(r.Deployment.DCs)) {
+		if t.Name != r.Trace {
+			continue
+		}
+		for i, m := range Methods() {
+			for seed := range n {
+				r.Results[i] = r.Results[i].plus(Simulate(r.Deployment, t, m.New(), uint64(seed+1)))
+			}
+			r.Results[i] = r.Results[i].times(1 / float64(n))
+		}
+	}
+}
+
 // measures returns the three measures of a result; less is better.
 func (r Result) measures() map[string]float64 {
 	return map[string]float64{Imbalance: r.LoadMax, Churn: r.Keys, LoadMoved: r.Moved, Unavailable: r.Down}
--- a/trial/trace.go
+++ b/trial/trace.go
@@ -63,9 +63,11 @@
 // Traces returns the traces for a deployment of n endpoints.
 func Traces(n int) []Trace {
 	rolling := Trace{Name: "rolling restart", Seconds: 60 + 20*n}
+	short := Trace{Name: "short rolling restart", Seconds: 60 + 20*n}
 	for i := range n {
-		id := pollenlatch.InstanceID(i + 1)
-		rolling.Events = append(rolling.Events, Event{20 + 20*float64(i), func(s *Sim) { s.Restart(id, 5*time.Second) }})
+		id, at := pollenlatch.InstanceID(i+1), 20+20*float64(i)
+		rolling.Events = append(rolling.Events, Event{at, func(s *Sim) { s.Restart(id, 5*time.Second) }})
+		short.Events = append(short.Events, Event{at, func(s *Sim) { s.Restart(id, 500*time.Millisecond) }})
 	}
 	flap := Trace{Name: "flapping server", Seconds: 240}
 	for i := range 8 {
@@ -80,6 +82,7 @@
 		{Name: "steady", Seconds: 180},
 		shift,
 		rolling,
+		short,
 		{Name: "single loss", Seconds: 120, Events: []Event{{10, func(s *Sim) { s.Kill(s.victim, 0) }}}},
 		{Name: "data centre lost", Seconds: 120, Events: []Event{{10, func(s *Sim) { s.KillDC(s.victim) }}}},
 		{Name: "server added", Seconds: 120, Events: []Event{{10, func(s *Sim) { s.Add() }}}},
