Don't balance endpoints whose reports lag behind their moves

Cause: a move was counted both as a correction and in the next report for up to 3 s, a drained owner's unnamed shards were estimated from a report of more shards, and a restarted server kept its old load. Change: balancing leaves endpoints with corrections alone; the estimate uses the number of shards at the report; a return without shards clears the load.

--- a/plan/balance.go
+++ b/plan/balance.go
@@ -44,11 +44,6 @@
 		return
 	}
 	left := r.p.cfg.Batch
-	defer func() {
-		if left < r.p.cfg.Batch {
-			b.nextAt = r.in.Now.Add(r.p.cfg.Lag) // when the reports show these moves
-		}
-	}()
 	for _, c := range order {
 		if c.load < 1+start*stopShare || left <= 0 || b.tokens <= 0 {
 			return
@@ -60,7 +55,7 @@
 // unload moves shards of one endpoint away and returns their number.
 func (r *round) unload(c *candidate, left int, start float64) int {
 	left = min(left, r.p.cfg.Handovers-r.in.Busy[c.id])
-	if left <= 0 {
+	if left <= 0 || c.unsure {
 		return 0
 	}
 	options := r.options(c)
@@ -157,7 +152,7 @@
 	wait := r.p.cfg.settle(r.w)
 	var best, home *candidate
 	for _, t := range r.usable {
-		if r.in.Now.Sub(t.track.since) < wait || r.damped(t) {
+		if r.in.Now.Sub(t.track.since) < wait || r.damped(t) || t.unsure {
 			continue
 		}
 		if best == nil || less(t, best) {
--- a/plan/round.go
+++ b/plan/round.go
@@ -10,14 +10,15 @@
 
 // candidate is an endpoint that may get shards.
 type candidate struct {
-	id    pollenlatch.InstanceID
-	dc    string
-	track *track
-	count int     // shards
-	rate  float64 // requests a second
-	load  float64 // relative to the mean endpoint's; 1 is the mean
-	limit float64 // rate up to which lost shards are given to it now
-	index int     // in its heap
+	id     pollenlatch.InstanceID
+	dc     string
+	track  *track
+	count  int     // shards
+	rate   float64 // requests a second
+	load   float64 // relative to the mean endpoint's; 1 is the mean
+	unsure bool    // its reports may not show its latest moves yet
+	limit  float64 // rate up to which lost shards are given to it now
+	index  int     // in its heap
 }
 
 // round is the planning of one service at one moment.
@@ -69,7 +70,7 @@
 			r.p.tracks[i.ID] = t
 		}
 		if l, ok := r.in.Loads[i.ID]; ok {
-			if c, ok := t.report(l, r.in.Now); ok {
+			if c, ok := t.report(l, r.book.index.count(i.ID), r.in.Now); ok {
 				changes = append(changes, c)
 			}
 		}
@@ -83,12 +84,17 @@
 	if d := t.observe(i, r.in.Now); d > 0 {
 		r.book.restart = time.Duration((1-learnShare)*float64(r.book.restart) + learnShare*float64(d))
 	}
+	owned := r.book.index.count(i.ID)
+	if owned == 0 && t.since == r.in.Now {
+		t.load, t.pending = pollenlatch.Load{}, nil // of a run that has ended
+	}
 	if !i.Usable() || !r.allowed(i.DC) {
 		r.leaving = append(r.leaving, i.ID)
 		return
 	}
 	c := &candidate{id: i.ID, dc: i.DC, track: t, rate: t.rate(r.in.Now)}
-	c.count = r.book.index.count(i.ID) + r.book.index.inbound[i.ID]
+	c.unsure = len(t.pending) > 0
+	c.count = owned + r.book.index.inbound[i.ID]
 	if l := t.load; l.Median > 0 && i.Endpoint.Slots > 0 {
 		c.limit = safeUse * float64(i.Endpoint.Slots) / l.Median.Seconds()
 	}
--- a/plan/scale.go
+++ b/plan/scale.go
@@ -21,12 +21,13 @@
 	ratio float64
 }
 
-// report takes a load report. ok is false when it is not new or can't be
+// report takes a load report of an instance that owns so many shards. ok is false when it is not new or can't be
 // compared with the one before.
-func (t *track) report(l pollenlatch.Load, now pollenlatch.Mono) (c change, ok bool) {
+func (t *track) report(l pollenlatch.Load, owned int, now pollenlatch.Mono) (c change, ok bool) {
 	if l.Rate == t.load.Rate && len(l.Ranges) == len(t.load.Ranges) {
 		return c, false
 	}
+	t.owned = owned
 	var ratios []float64
 	for _, a := range t.load.Ranges {
 		for _, b := range l.Ranges {
--- a/plan/track.go
+++ b/plan/track.go
@@ -19,6 +19,7 @@
 	returning bool             // it stopped gracefully and is not usable again yet
 	goneAt    pollenlatch.Mono // when it lost its lease
 	load      pollenlatch.Load // newest report
+	owned     int              // shards when it was reported
 	scale     float64          // of its reports relative to the truth; 0 is 1
 	scaledAt  pollenlatch.Mono
 	pending   []adjustment
@@ -103,7 +104,7 @@
 }
 
 // shards estimates the rate of each shard of a service from the newest report.
-// owned is the number of shards.
+// owned is the number of shards now; some may have left since the report.
 func (t *track) shards(service string, owned int, now pollenlatch.Mono) rates {
 	scale := t.scaleNow(now)
 	r := rates{
@@ -122,7 +123,7 @@
 			r.byKey[h.Key] = h.Rate / scale
 		}
 	}
-	if n := owned - len(r.byRange); n > 0 {
+	if n := max(owned, t.owned) - len(r.byRange); n > 0 {
 		r.rest = max(t.load.Rate-sum, 0) / scale / float64(n)
 	}
 	return r
--- a/trial/meter.go
+++ b/trial/meter.go
@@ -147,6 +147,11 @@
 // report makes the load reports of the last second.
 func (s *Sim) report() {
 	loads := make(map[pollenlatch.InstanceID]pollenlatch.Load)
+	for _, i := range s.w.insts {
+		if i.Alive() && !s.dead.Has(i.ID) {
+			loads[i.ID] = pollenlatch.Load{}
+		}
+	}
 	ranges := make(map[pollenlatch.Shard]float64)
 	s.byOwner(func(id pollenlatch.InstanceID, p pollenlatch.Shard, rate float64) {
 		if id == 0 || s.dead.Has(id) {
