Benchmark the planner and skip rounds without a change

Cause: a control loop that plans ten times a second would scan 4,900 endpoints each time. Change: a round in the same version with nothing to place returns at once until balancing is due; a view without Changes is compared, not read anew.

--- /dev/null
+++ b/plan/bench_test.go
@@ -0,0 +1,133 @@
+package plan_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"pollenlatch"
+	"pollenlatch/plan"
+	"pollenlatch/trial"
+)
+
+// sizes are bits of ranges and numbers of endpoints. 19 bits and 4,900
+// endpoints are the largest size that the design names.
+var sizes = []struct {
+	bits      uint32
+	endpoints int
+}{
+	{10, 10},
+	{10, 100},
+	{10, 4900},
+	{14, 10},
+	{14, 100},
+	{14, 4900},
+	{19, 4900},
+	{20, 10},
+	{20, 100},
+	{20, 4900},
+}
+
+// large returns a world with all ranges assigned and reports of all endpoints.
+func large(p *plan.Planner, bits uint32, endpoints int) (*trial.World, pollenlatch.Placement) {
+	s := pollenlatch.Service{Name: "listing", Keyed: true, Bits: bits}
+	w := trial.NewWorld(s)
+	for i := range endpoints {
+		w.Join(fmt.Sprintf("dc%d", i%8), 10)
+	}
+	in := pollenlatch.Placement{View: w}
+	for _, m := range p.Plan(in) {
+		w.Assign(m.Shard, m.To)
+	}
+	in.Now = second
+	in.Loads = reports(w, endpoints, 100)
+	return w, in
+}
+
+func reports(w *trial.World, endpoints int, rate float64) map[pollenlatch.InstanceID]pollenlatch.Load {
+	loads := make(map[pollenlatch.InstanceID]pollenlatch.Load)
+	for i := range endpoints {
+		id := pollenlatch.InstanceID(i + 1)
+		l := pollenlatch.Load{Rate: rate}
+		w.Owned(id, "", func(o pollenlatch.Owner) bool {
+			l.Ranges = append(l.Ranges, pollenlatch.RangeLoad{Service: o.Service, Range: o.Range, Rate: rate / 20})
+			return len(l.Ranges) < 16
+		})
+		loads[id] = l
+	}
+	return loads
+}
+
+// BenchmarkLoss plans after the loss of one endpoint.
+func BenchmarkLoss(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("ranges=%d/endpoints=%d", 1<<c.bits, c.endpoints), func(b *testing.B) {
+			var p plan.Planner
+			w, in := large(&p, c.bits, c.endpoints)
+			p.Plan(in)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+				id := pollenlatch.InstanceID(i%c.endpoints + 1)
+				w.Expire(id)
+				in.Now += second / 10
+				b.StartTimer()
+				moves := p.Plan(in)
+				b.StopTimer()
+				for _, m := range moves {
+					w.Assign(m.Shard, m.To)
+				}
+				w.Rejoin(id)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// BenchmarkBalance plans a balancing round with new reports of all endpoints,
+// one of which is overloaded.
+func BenchmarkBalance(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("ranges=%d/endpoints=%d", 1<<c.bits, c.endpoints), func(b *testing.B) {
+			var p plan.Planner
+			w, in := large(&p, c.bits, c.endpoints)
+			rounds := [2]map[pollenlatch.InstanceID]pollenlatch.Load{reports(w, c.endpoints, 100), reports(w, c.endpoints, 101)}
+			for _, r := range rounds {
+				l := r[1]
+				l.Rate *= 2
+				r[1] = l
+			}
+			p.Plan(in)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				in.Now += 4 * second
+				in.Loads = rounds[i%2]
+				p.Plan(in)
+			}
+		})
+	}
+}
+
+// BenchmarkFirst plans with an empty planner, as a new leader does, and
+// reports the memory that the planner keeps.
+func BenchmarkFirst(b *testing.B) {
+	for _, c := range sizes {
+		b.Run(fmt.Sprintf("ranges=%d/endpoints=%d", 1<<c.bits, c.endpoints), func(b *testing.B) {
+			var p plan.Planner
+			_, in := large(&p, c.bits, c.endpoints)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var kept *plan.Planner
+			for b.Loop() {
+				kept = plan.New(plan.Settings{})
+				kept.Plan(in)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc)), "kept-B")
+			runtime.KeepAlive(kept)
+			runtime.KeepAlive(in)
+		})
+	}
+}
--- a/plan/index.go
+++ b/plan/index.go
@@ -39,20 +39,24 @@
 	records int // hot keys with a record of their own
 }
 
-// follow brings the index to the version of the view.
-func (x *index) follow(v pollenlatch.View, s pollenlatch.Service) {
-	if x.read && x.version == v.Version() && len(x.holder) == s.Ranges() {
-		return
-	}
-	if d, ok := v.(Differ); !ok || !x.read || len(x.holder) != s.Ranges() || !d.Changes(s.Name, x.version, x.put) {
+// follow brings the index to the version of the view and reports whether that
+// is another version than before.
+func (x *index) follow(v pollenlatch.View, s pollenlatch.Service) bool {
+	if len(x.holder) != s.Ranges() {
 		x.reset(s.Ranges())
+	} else if x.version == v.Version() {
+		return false
+	}
+	if d, ok := v.(Differ); !ok || !x.read || !d.Changes(s.Name, x.version, x.put) {
 		x.scan(v, s)
 	}
 	x.readKeys(v, s)
 	x.version, x.read = v.Version(), true
+	return true
 }
 
 func (x *index) reset(n int) {
+	x.read = false
 	x.holder = make([]pollenlatch.InstanceID, n)
 	x.pos = make([]int32, n)
 	all := make([]pollenlatch.Range, n)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -61,11 +61,14 @@
 		b = &book{tokens: p.cfg.Budget, tokensAt: in.Now, restart: p.cfg.Restart}
 		p.books[s.Name] = b
 	}
-	b.index.follow(in.View, s)
+	if !b.index.follow(in.View, s) && b.idle && in.Now < b.nextAt {
+		return nil
+	}
 	r := p.newRound(in, s, b)
 	r.assignLost()
 	r.drain()
 	r.balance()
+	b.idle = len(r.moves) == 0 && len(r.leaving) == 0 && b.index.count(0) == 0
 	return r.moves
 }
 
@@ -78,6 +81,7 @@
 	tokensAt pollenlatch.Mono
 	nextAt   pollenlatch.Mono // of balancing
 	balanced bool             // nextAt is set
+	idle     bool             // only balancing can find a move in the same version
 	waveAt   pollenlatch.Mono
 	waved    bool // waveAt is set
 	active   bool // balancing has started and not reached its end
