--- a/plan/plan.go
+++ b/plan/plan.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"pollenlatch"
 )
@@ -57,14 +58,17 @@
 func (p *Planner) service(in pollenlatch.Placement, s pollenlatch.Service) []pollenlatch.Move {
 	b := p.books[s.Name]
 	if b == nil {
-		b = &book{tokens: p.cfg.Budget, tokensAt: in.Now}
+		b = &book{tokens: p.cfg.Budget, tokensAt: in.Now, restart: p.cfg.Restart}
 		p.books[s.Name] = b
 	}
-	b.index.follow(in.View, s)
+	if !b.index.follow(in.View, s) && b.idle && in.Now < b.nextAt {
+		return nil
+	}
 	r := p.newRound(in, s, b)
 	r.assignLost()
 	r.drain()
 	r.balance()
+	b.idle = len(r.moves) == 0 && len(r.leaving) == 0 && b.index.count(0) == 0
 	return r.moves
 }
 
@@ -72,10 +76,12 @@
 type book struct {
 	index    index
 	known    []pollenlatch.InstanceID // endpoints at the last plan
+	restart  time.Duration            // expected time of a graceful restart
 	tokens   float64                  // share of load that balancing may move now
 	tokensAt pollenlatch.Mono
 	nextAt   pollenlatch.Mono // of balancing
 	balanced bool             // nextAt is set
+	idle     bool             // only balancing can find a move in the same version
 	waveAt   pollenlatch.Mono
 	waved    bool // waveAt is set
 	active   bool // balancing has started and not reached its end
--- a/plan/round.go
+++ b/plan/round.go
@@ -3,20 +3,22 @@
 import (
 	"container/heap"
 	"slices"
+	"time"
 
 	"pollenlatch"
 )
 
 // candidate is an endpoint that may get shards.
 type candidate struct {
-	id    pollenlatch.InstanceID
-	dc    string
-	track *track
-	count int     // shards
-	rate  float64 // requests a second
-	load  float64 // relative to the mean endpoint's; 1 is the mean
-	limit float64 // rate up to which lost shards are given to it now
-	index int     // in its heap
+	id     pollenlatch.InstanceID
+	dc     string
+	track  *track
+	count  int     // shards
+	rate   float64 // requests a second
+	load   float64 // relative to the mean endpoint's; 1 is the mean
+	unsure bool    // its reports may not show its latest moves yet
+	limit  float64 // rate up to which lost shards are given to it now
+	index  int     // in its heap
 }
 
 // round is the planning of one service at one moment.
@@ -33,6 +35,7 @@
 	dcs     []string
 	rate    float64 // of the whole service
 	mean    float64 // rate of the mean usable endpoint
+	steady  int     // usable endpoints that are not damped
 	shards  float64 // mean number of shards of a usable endpoint
 	moves   []pollenlatch.Move
 }
@@ -44,7 +47,9 @@
 	}
 	known := make([]pollenlatch.InstanceID, 0, len(b.known))
 	listed := make(map[pollenlatch.InstanceID]bool, len(b.known))
-	for _, i := range in.View.Endpoints(s.Name) {
+	endpoints := in.View.Endpoints(s.Name)
+	r.reports(endpoints)
+	for _, i := range endpoints {
 		known = append(known, i.ID)
 		listed[i.ID] = true
 		r.endpoint(i)
@@ -55,23 +60,41 @@
 	return r
 }
 
+// reports takes the load reports of all endpoints.
+func (r *round) reports(endpoints []pollenlatch.Instance) {
+	var changes []change
+	for _, i := range endpoints {
+		t := r.p.tracks[i.ID]
+		if t == nil {
+			t = &track{}
+			r.p.tracks[i.ID] = t
+		}
+		if l, ok := r.in.Loads[i.ID]; ok {
+			if c, ok := t.report(l, r.book.index.count(i.ID), r.in.Now); ok {
+				changes = append(changes, c)
+			}
+		}
+	}
+	rescale(changes, r.in.Now)
+}
+
 // endpoint files one endpoint of the service as usable or leaving.
 func (r *round) endpoint(i pollenlatch.Instance) {
 	t := r.p.tracks[i.ID]
-	if t == nil {
-		t = &track{}
-		r.p.tracks[i.ID] = t
+	if d := t.observe(i, r.in.Now); d > 0 {
+		r.book.restart = time.Duration((1-learnShare)*float64(r.book.restart) + learnShare*float64(d))
 	}
-	t.observe(i, r.in.Now)
-	if l, ok := r.in.Loads[i.ID]; ok {
-		t.load = l
+	owned := r.book.index.count(i.ID)
+	if owned == 0 && t.since == r.in.Now {
+		t.load, t.pending = pollenlatch.Load{}, nil // of a run that has ended
 	}
 	if !i.Usable() || !r.allowed(i.DC) {
 		r.leaving = append(r.leaving, i.ID)
 		return
 	}
 	c := &candidate{id: i.ID, dc: i.DC, track: t, rate: t.rate(r.in.Now)}
-	c.count = r.book.index.count(i.ID) + r.book.index.inbound[i.ID]
+	c.unsure = len(t.pending) > 0
+	c.count = owned + r.book.index.inbound[i.ID]
 	if l := t.load; l.Median > 0 && i.Endpoint.Slots > 0 {
 		c.limit = safeUse * float64(i.Endpoint.Slots) / l.Median.Seconds()
 	}
@@ -112,6 +135,9 @@
 	n := float64(len(r.usable))
 	for _, c := range r.usable {
 		r.rate += c.rate
+		if c.track.flaps(r.in.Now) < flapLimit {
+			r.steady++
+		}
 	}
 	for _, id := range r.leaving {
 		if t := r.p.tracks[id]; t != nil && r.book.index.count(id) > 0 {
@@ -153,16 +179,7 @@
 // damped reports whether an endpoint failed too often lately to get shards
 // while others are usable.
 func (r *round) damped(c *candidate) bool {
-	if c.track.flaps(r.in.Now) < flapLimit {
-		return false
-	}
-	steady := 0
-	for _, o := range r.usable {
-		if o.track.flaps(r.in.Now) < flapLimit {
-			steady++
-		}
-	}
-	return steady > 0
+	return r.steady > 0 && c.track.flaps(r.in.Now) >= flapLimit
 }
 
 // target returns the best endpoint for a shard whose last owner was in a data
