Reserve capacity of repeated fields before decoding

Cause: the decoder of segmentio/encoding v0.5.4 crashes the process (SIGSEGV, or 'bulkBarrierPreWrite: unaligned arguments') when a repeated field has more than 10 elements; it links runtime.typedslicecopy with an old signature. Change: Decode counts the elements first and gives each repeated field its capacity, at every level.

--- a/wire.go
+++ b/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 
 	"github.com/segmentio/encoding/proto"
 )
@@ -34,6 +35,9 @@
 
 // Decode reads the protobuf encoding of v and checks the result.
 func Decode(b []byte, v Checker) error {
+	if e := reflect.ValueOf(v); e.Kind() == reflect.Pointer && !e.IsNil() {
+		reserve(e.Elem(), b)
+	}
 	if err := proto.Unmarshal(b, v); err != nil {
 		return &WireError{Type: fmt.Sprintf("%T", v), Err: err}
 	}
