--- a/quorum/message.go
+++ b/quorum/message.go
@@ -72,7 +72,7 @@
 	}
 	switch m.Kind {
 	case KindAppend:
-		return checkEntries(m.Entries, m.Index, m.LogTerm, m.Term)
+		return CheckEntries(m.Entries, m.Index, m.LogTerm, m.Term)
 	case KindPiece:
 		return m.checkPiece()
 	default:
@@ -93,9 +93,9 @@
 	return checkMembers(m.Members)
 }
 
-// checkEntries reports whether entries follow index without gaps, with terms
+// CheckEntries reports whether entries follow index without gaps, with terms
 // that do not fall and lie between term and limit.
-func checkEntries(entries []Entry, index, term, limit uint64) error {
+func CheckEntries(entries []Entry, index, term, limit uint64) error {
 	for i := range entries {
 		e := &entries[i]
 		if e.Index != index+1+uint64(i) || e.Index == 0 {
--- a/quorum/property_test.go
+++ b/quorum/property_test.go
@@ -16,6 +16,7 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("20261204")
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -133,7 +133,7 @@
 	}
 	r.started = true
 	r.now = s.Now
-	if err := checkEntries(s.Entries, s.Snapshot.Index, s.Snapshot.Term, s.Hard.Term); err != nil {
+	if err := CheckEntries(s.Entries, s.Snapshot.Index, s.Snapshot.Term, s.Hard.Term); err != nil {
 		r.halt(fmt.Errorf("log of the data folder: %w", err))
 		return
 	}
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -130,7 +130,7 @@
 		n.log = slices.DeleteFunc(n.log, func(e Entry) bool { return e.Index <= n.snap.Index })
 	}
 	n.log = append(n.log, p.Entries...)
-	if err := checkEntries(n.log, n.snap.Index, n.snap.Term, n.hard.Term); err != nil {
+	if err := CheckEntries(n.log, n.snap.Index, n.snap.Term, n.hard.Term); err != nil {
 		fail("disk of %s: %v", n.self.Name, err)
 	}
 }
