--- /dev/null
+++ b/state/bench_test.go
@@ -0,0 +1,181 @@
+package state
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"pollenlatch"
+)
+
+var sizes = []struct {
+	ranges int
+	spec   []uint32 // bits of the services that add up to it
+}{
+	{1_000, []uint32{9, 8, 7, 6, 5, 3}},
+	{10_000, []uint32{13, 10, 9, 8, 4}},
+	{100_000, []uint32{16, 15, 10, 9, 7, 5}},
+	{524_288, []uint32{19}},
+}
+
+const benchOwners = 4900
+
+// filled returns a state in which 4,900 instances own all ranges, assigned in
+// batches of 1,000 by a plan that visits the ranges in order.
+func filled(b *testing.B, bits []uint32) *world {
+	b.Helper()
+	w := &world{t: b, s: new(State)}
+	var spec pollenlatch.Spec
+	for n, bit := range bits {
+		spec.Services = append(spec.Services, service1(fmt.Sprint("s", n), bit))
+	}
+	w.ticket(1, "first", spec)
+	for n := range benchOwners {
+		id := w.join(fmt.Sprintf("instance-%04d", n), 1).Instance
+		w.apply(pollenlatch.Command{Announce: &pollenlatch.Announce{Instance: id, Lease: w.lease(id), Endpoint: pollenlatch.Endpoint{
+			Service: "s0", Addr: "127.0.0.1:8080", Slots: 10, Conns: 100, Fenced: true, Ready: true,
+		}}})
+	}
+	var batch []pollenlatch.AssignItem
+	for _, svc := range spec.Services {
+		for r := range svc.Ranges() {
+			to := pollenlatch.InstanceID(1 + (r*7919)%benchOwners)
+			batch = append(batch, pollenlatch.AssignItem{Shard: pollenlatch.Shard{Service: svc.Name, Range: pollenlatch.Range(r)}, To: to})
+			if len(batch) == 1000 {
+				w.apply(pollenlatch.Command{Assign: &pollenlatch.Assign{Items: batch}})
+				batch = nil
+			}
+		}
+	}
+	w.apply(pollenlatch.Command{Assign: &pollenlatch.Assign{Items: batch}})
+	return w
+}
+
+func forSizes(b *testing.B, f func(b *testing.B, w *world, ranges int)) {
+	b.Helper()
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size.ranges), func(b *testing.B) {
+			w := filled(b, size.spec)
+			b.ReportAllocs()
+			b.ResetTimer()
+			f(b, w, size.ranges)
+		})
+	}
+}
+
+// One assignment of an unowned range.
+func BenchmarkAssignOne(b *testing.B) { benchAssign(b, 1) }
+
+// One entry with 1,000 assignments, spread over the table.
+func BenchmarkAssign1000(b *testing.B) { benchAssign(b, 1000) }
+
+func benchAssign(b *testing.B, n int) {
+	b.Helper()
+	forSizes(b, func(b *testing.B, w *world, _ int) {
+		b.Helper()
+		b.StopTimer()
+		var all []pollenlatch.Shard
+		for _, svc := range w.s.Services() {
+			w.s.Shards(svc.Name, func(o pollenlatch.Owner) bool {
+				all = append(all, o.Shard)
+				return true
+			})
+		}
+		items := make([]pollenlatch.AssignItem, 0, n)
+		for i := range n {
+			items = append(items, pollenlatch.AssignItem{Shard: all[i*523%len(all)], To: 2})
+		}
+		// The ranges lose their owner, so that every item applies once.
+		d := newDraft(w.s, w.s.version+1)
+		for i, it := range items {
+			o, _ := w.s.OwnerAt(it.Shard)
+			items[i].Expect = o.Fence
+			d.put(pollenlatch.Owner{Shard: it.Shard, Fence: o.Fence, Last: 1})
+		}
+		s := d.finish()
+		c := &pollenlatch.Command{Assign: &pollenlatch.Assign{Items: items}}
+		if _, res := s.Apply(s.version+1, c); len(res.Changed) != n {
+			b.Fatal(res.Items)
+		}
+		b.StartTimer()
+		for b.Loop() {
+			s.Apply(s.version+1, c)
+		}
+	})
+}
+
+// The loss of one instance.
+func BenchmarkExpire(b *testing.B) {
+	forSizes(b, func(b *testing.B, w *world, _ int) {
+		b.Helper()
+		c := &pollenlatch.Command{Expire: &pollenlatch.Expire{Instance: 7, Lease: w.lease(7)}}
+		for b.Loop() {
+			w.s.Apply(w.s.version+1, c)
+		}
+	})
+}
+
+// The shards of one instance.
+func BenchmarkOwned(b *testing.B) {
+	forSizes(b, func(b *testing.B, w *world, _ int) {
+		b.Helper()
+		for b.Loop() {
+			w.s.Owned(7, "", func(pollenlatch.Owner) bool { return true })
+		}
+	})
+}
+
+// The owner of a key, as traffic asks for it.
+func BenchmarkOwner(b *testing.B) {
+	forSizes(b, func(b *testing.B, w *world, _ int) {
+		b.Helper()
+		for b.Loop() {
+			w.s.Owner("s0", "booking-4711")
+		}
+	})
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	forSizes(b, func(b *testing.B, w *world, ranges int) {
+		b.Helper()
+		var n int
+		for b.Loop() {
+			n = len(snapshot(b, w.s))
+		}
+		b.ReportMetric(float64(n), "bytes")
+		table := 0
+		for _, svc := range w.s.services {
+			table += len(svc.encodeTable())
+		}
+		b.ReportMetric(float64(table)/float64(ranges), "tablebytes/range")
+	})
+}
+
+func BenchmarkLoad(b *testing.B) {
+	forSizes(b, func(b *testing.B, w *world, ranges int) {
+		b.Helper()
+		data := snapshot(b, w.s)
+		for b.Loop() {
+			if _, err := Load(data); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.StopTimer()
+		before := heap()
+		s, _ := Load(data)
+		held := float64(heap() - before)
+		b.ReportMetric(held/float64(ranges), "heapbytes/range")
+		b.ReportMetric(held/(1<<20), "heapMB")
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(w)
+		runtime.KeepAlive(data)
+	})
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/state/load.go
+++ b/state/load.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 
-	"github.com/segmentio/encoding/proto"
-
 	"pollenlatch"
 )
 
@@ -24,9 +22,12 @@
 	return s, nil
 }
 
+// Check leaves the content to load, which builds the state step by step.
+func (*image) Check() error { return nil }
+
 func load(body []byte) (*State, error) {
 	var img image
-	if err := proto.Unmarshal(body, &img); err != nil {
+	if err := pollenlatch.Decode(body, &img); err != nil {
 		return nil, err
 	}
 	s := &State{version: img.Version, last: img.Last, voters: img.Voters}
@@ -43,24 +44,40 @@
 	if img.Last > MaxInstanceID || len(img.Instances) > MaxInstances {
 		return fmt.Errorf("%d instances up to number %d are too many", len(img.Instances), img.Last)
 	}
-	d := draft{State: *s}
+	s.endpoints = make(map[string]*endpoints)
+	s.names.buckets = make([][]name, nameBuckets)
 	var before pollenlatch.InstanceID
 	for _, i := range img.Instances {
+		id := i.Instance.ID
 		if err := s.checkInstance(i, before); err != nil {
-			return fmt.Errorf("instance %d: %w", i.Instance.ID, err)
+			return fmt.Errorf("instance %d: %w", id, err)
 		}
-		if d.names.get(i.Instance.Name) != 0 {
-			return fmt.Errorf("instance %d: name %q is used twice", i.Instance.ID, i.Instance.Name)
+		if s.names.get(i.Instance.Name) != 0 {
+			return fmt.Errorf("instance %d: name %q is used twice", id, i.Instance.Name)
 		}
-		before = i.Instance.ID
-		d.names = d.names.with(i.Instance.Name, i.Instance.ID)
-		d.replace(instance{Instance: i.Instance, ended: i.Ended})
-		d.count++
+		before = id
+		s.addInstance(&instance{Instance: i.Instance, ended: i.Ended})
 	}
-	*s = d.State
 	return nil
 }
 
+// addInstance puts a loaded instance into a state that nobody else holds.
+func (s *State) addInstance(i *instance) {
+	b := &s.names.buckets[bucketOf(i.Name)]
+	*b = append(*b, name{i.Name, i.ID})
+	s.instances.put(uint64(i.ID), i)
+	s.count++
+	service := listedAs(i)
+	if service == "" {
+		return
+	}
+	if s.endpoints[service] == nil {
+		s.endpoints[service] = new(endpoints)
+	}
+	e := s.endpoints[service]
+	e.ids = append(e.ids, i.ID)
+}
+
 func (s *State) checkInstance(i instanceImage, before pollenlatch.InstanceID) error {
 	switch {
 	case i.Instance.ID <= before || i.Instance.ID > s.last:
@@ -284,7 +301,7 @@
 
 // add puts a loaded record into a history that nobody else holds.
 func (h *history) add(number uint64, r recordImage) {
-	h.records = h.records.with(number, &Record{
+	h.records.put(number, &Record{
 		Number:  number,
 		Sum:     string(r.Sum),
 		Sender:  r.Sender,
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -6,7 +6,6 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/segmentio/encoding/proto"
 
 	"pollenlatch"
 )
@@ -29,8 +28,8 @@
 // A snapshot is the magic, the protobuf encoding of an image, and the xxhash64
 // of both.
 const (
-	magic      = "plstate1"
-	sumBytes64 = 8
+	magic   = "plstate1"
+	sumSize = 8
 )
 
 type image struct {
@@ -93,7 +92,7 @@
 	for n := s.tickets.first(); n <= s.tickets.last; n++ {
 		img.Records = append(img.Records, s.tickets.image(n))
 	}
-	b, err := proto.Marshal(&img)
+	b, err := pollenlatch.Encode(&img)
 	if err != nil {
 		return nil, &SnapshotError{Err: err}
 	}
@@ -101,17 +100,17 @@
 }
 
 func seal(b []byte) []byte {
-	out := make([]byte, 0, len(magic)+len(b)+sumBytes64)
+	out := make([]byte, 0, len(magic)+len(b)+sumSize)
 	out = append(out, magic...)
 	out = append(out, b...)
 	return binary.BigEndian.AppendUint64(out, xxhash.Sum64(out))
 }
 
 func unseal(b []byte) ([]byte, error) {
-	if len(b) < len(magic)+sumBytes64 || string(b[:len(magic)]) != magic {
+	if len(b) < len(magic)+sumSize || string(b[:len(magic)]) != magic {
 		return nil, ErrFormat
 	}
-	body, sum := b[:len(b)-sumBytes64], b[len(b)-sumBytes64:]
+	body, sum := b[:len(b)-sumSize], b[len(b)-sumSize:]
 	if binary.BigEndian.Uint64(sum) != xxhash.Sum64(body) {
 		return nil, ErrChecksum
 	}
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -12,11 +12,17 @@
 
 // world applies commands with rising indices.
 type world struct {
-	t testing.TB
+	t testingT
 	s *State
 }
 
-func newWorld(tb testing.TB, bits uint32, instances ...string) *world {
+// testingT is what *testing.T, *testing.B and *rapid.T have in common.
+type testingT interface {
+	require.TestingT
+	Helper()
+}
+
+func newWorld(tb testingT, bits uint32, instances ...string) *world {
 	tb.Helper()
 	w := &world{t: tb, s: new(State)}
 	w.ticket(1, "first", pollenlatch.Spec{Services: []pollenlatch.Service{service1("listing", bits)}})
--- a/state/table.go
+++ b/state/table.go
@@ -1,20 +1,18 @@
 package state
 
-import (
-	"pollenlatch"
-)
+import "pollenlatch"
 
-// MaxInstanceID bounds instance numbers, because a range's record keeps two
-// flags beside the number in 32 bits.
-const MaxInstanceID = 1<<30 - 1
+// MaxInstanceID bounds instance numbers. At 1,400 new names a day it is reached
+// after 32 years, and the list of pages of instances stays below 256 KB.
+const MaxInstanceID = 1<<24 - 1
 
-// holder is an instance number with two flags.
+// holder is an instance number with two flags in its highest bits.
 type holder uint32
 
 const (
 	flagUnowned   holder = 1 << 31 // the number is of the last owner
 	flagNoRecords holder = 1 << 30
-	holderID             = flagNoRecords - 1
+	holderID             = holder(MaxInstanceID)
 )
 
 // page holds the records of 512 ranges in 12 bytes each. It is immutable once
--- a/state/vec.go
+++ b/state/vec.go
@@ -38,6 +38,18 @@
 	return vec[T]{pages: pages}
 }
 
+// put sets an element of a vec that nobody else holds, in any order.
+func (v *vec[T]) put(i uint64, e *T) {
+	p := i >> pageShift
+	if n := p + 1; n > uint64(len(v.pages)) {
+		v.pages = append(v.pages, make([]*[pageSize]*T, n-uint64(len(v.pages)))...)
+	}
+	if v.pages[p] == nil {
+		v.pages[p] = new([pageSize]*T)
+	}
+	v.pages[p][i&pageMask] = e
+}
+
 // without returns a copy that lacks the pages that lie wholly before element i.
 func (v vec[T]) without(i uint64) vec[T] {
 	n := min(i>>pageShift, uint64(len(v.pages)))
