Add ticket documents and the reader of YAML fields

Cause: operators write tickets in YAML and need every fault with its line and path; the settings need the same. Change: package field reads a YAML document into a struct, refuses unknown fields, anchors and times without units, and collects all faults. Package ticket parses, completes and checks tickets, merges them into a configuration and tells the difference between two.

--- /dev/null
+++ b/ticket/ticket_test.go
@@ -0,0 +1,159 @@
+package ticket
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+	"pollenlatch/field"
+)
+
+const full = `number: 7
+services:
+  - name: listing
+    keyed: true
+    ranges: 2048
+    maxrun: 500ms
+    queue: 20
+    weights: {imbalance: 1, churn: 2, unavailable: 3.5}
+    objectives:
+      - {class: urgent, availability: 0.999, latency: 50ms, fast: 0.99}
+    rules:
+      - {caller: mender, kind: claim, class: urgent}
+      - {kind: view, class: normal}
+    dcs: [howrah, nadia]
+    idempotent: [view]
+    recordttl: 1m
+callers:
+  - name: mender
+    rate: 2.5
+voters:
+  - {name: a, incarnation: 18446744073709551615, addr: "127.0.0.1:1"}
+remove: [depot]
+`
+
+// A field that is read wrongly changes the configuration of every daemon.
+func TestParse(t *testing.T) {
+	got, err := Parse(full)
+	require.NoError(t, err)
+	require.Equal(t, full, got.Text)
+	require.EqualValues(t, 7, got.Number)
+	require.NotZero(t, got.Digest)
+	require.Equal(t, pollenlatch.Spec{
+		Services: []pollenlatch.Service{{
+			Name:       "listing",
+			Keyed:      true,
+			Bits:       11,
+			MaxRun:     500 * time.Millisecond,
+			Queue:      20,
+			Weights:    pollenlatch.Weights{Imbalance: 1, Churn: 2, Unavailable: 3.5},
+			Objectives: []pollenlatch.Objective{{Class: pollenlatch.Urgent, Availability: 0.999, Latency: 50 * time.Millisecond, Fast: 0.99}},
+			Rules: []pollenlatch.Rule{
+				{Caller: "mender", Kind: "claim", Class: pollenlatch.Urgent},
+				{Kind: "view", Class: pollenlatch.Normal},
+			},
+			DCs:        []string{"howrah", "nadia"},
+			Idempotent: []string{"view"},
+			RecordTTL:  time.Minute,
+		}},
+		Callers: []pollenlatch.Caller{{Name: "mender", Rate: 2.5, Burst: 3}},
+		Voters:  []pollenlatch.Member{{Name: "a", Incarnation: 1<<64 - 1, Addr: "127.0.0.1:1"}},
+		Remove:  []string{"depot"},
+	}, got.Spec)
+}
+
+func TestDefaults(t *testing.T) {
+	got, err := Parse("number: 1\nservices:\n  - name: depot\n")
+	require.NoError(t, err)
+	require.Equal(t, pollenlatch.Service{
+		Name:      "depot",
+		Bits:      10,
+		MaxRun:    DefaultMaxRun,
+		Queue:     DefaultQueue,
+		Weights:   DefaultWeights,
+		RecordTTL: DefaultRecordTTL,
+	}, got.Spec.Services[0])
+}
+
+// An operator who gets an error without its place has to guess.
+func TestFaultsNameLineAndPath(t *testing.T) {
+	service := func(more string) string { return "number: 1\nservices:\n  - name: s\n    " + more }
+	for _, c := range []struct{ name, text, want string }{
+		{"empty", "", "the document is empty"},
+		{"syntax", "number: 1\nservices: [\n", "YAML syntax"},
+		{"two documents", "number: 1\n---\nnumber: 2\n", "one document"},
+		{"no mapping", "- 1\n", "must be a mapping of fields, not a list"},
+		{"no number", "remove: [a]\n", "number: is missing"},
+		{"negative number", "number: -1\nremove: [a]\n", "line 1: number: must not be below 0"},
+		{"nothing", "number: 1\n", "changes nothing"},
+		{"unknown field", service("rangs: 4"), "line 4: services[0].rangs: unknown field; known here are name, keyed, ranges"},
+		{"unknown top field", "number: 1\nvoter: []\nremove: [a]\n", "line 2: voter: unknown field"},
+		{"duplicate field", service("ranges: 4\n    ranges: 8"), "YAML syntax: mapping key \"ranges\" already defined"},
+		{"ranges", service("ranges: 1000"), "line 4: services[0].ranges: 1000 is not a power of two"},
+		{"too many ranges", service("ranges: 2097152"), "line 4: services[0].ranges: 2097152 is not"},
+		{"no unit", service("maxrun: 2"), "line 4: services[0].maxrun: must be a time with a unit"},
+		{"bad unit", service("maxrun: 2 hours"), "line 4: services[0].maxrun: \"2 hours\" is not a time"},
+		{"maxrun", service("maxrun: 2m"), "line 4: services[0].maxrun: 2m0s is not between"},
+		{"record", service("recordttl: 1s"), "line 4: services[0].recordttl: 1s is shorter"},
+		{"class", service("rules:\n      - {class: fast}"), "line 5: services[0].rules[0].class: \"fast\" is not a class"},
+		{"no class", service("rules:\n      - kind: view"), "line 5: services[0].rules[0].class: is missing"},
+		{"shadowed rule", service("rules:\n      - {class: normal}\n      - {kind: a, class: urgent}"), "line 6: services[0].rules[1]: never matches"},
+		{"objective", service("objectives:\n      - {class: urgent, availability: 99.9, latency: 1s, fast: 0.9}"), "line 5: services[0].objectives[0].availability: 99.9"},
+		{"weights", service("weights: {churn: -1}"), "line 4: services[0].weights: weights must not"},
+		{"text", service("dcs: [1]"), "line 4: services[0].dcs[0]: must be text, not 1"},
+		{"list", service("dcs: nadia"), "line 4: services[0].dcs: must be a list, not the text \"nadia\""},
+		{"null", service("queue:"), "line 4: services[0].queue: has no value"},
+		{"alias", service("dcs: &a [x]"), "line 4: services[0].dcs: anchors"},
+		{"service name", "number: 1\nservices: [{name: A/b}]", "services[0].name: \"A/b\" is not a service name"},
+		{"twice", "number: 1\nremove: [s]\nservices: [{name: s}]", "line 2: remove[0]: \"s\" is already named at services[0].name"},
+		{"rate", "number: 1\ncallers:\n  - {name: c, burst: 3}", "line 3: callers[0].burst: has no effect"},
+		{"voters", "number: 1\nvoters:\n  - {name: a, incarnation: 1, addr: x}\n  - {name: b}", "line 4: voters[1].incarnation: is missing"},
+		{"even voters", "number: 1\nvoters:\n  - {name: a, incarnation: 1, addr: x}\n  - {name: b, incarnation: 1, addr: x}", "line 2: voters: 2 voters"},
+		{"too large", "number: 1\ncallers: [{name: c, rate: 1, burst: 4294967296}]", "callers[0].burst: is too large"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse(c.text)
+			var e *field.Error
+			require.ErrorAs(t, err, &e)
+			require.Contains(t, err.Error(), c.want)
+		})
+	}
+	t.Run("all faults at once", func(t *testing.T) {
+		_, err := Parse("number: x\nservices:\n  - name: s\n    queue: no\n    nme: t\n")
+		require.Equal(t, 3, strings.Count(err.Error(), "line "))
+	})
+}
+
+// A document from the network must never crash the process that reads it.
+func FuzzParse(f *testing.F) {
+	f.Add(full)
+	f.Add("a: &a [*a]")
+	f.Add("? {}\n: ")
+	f.Fuzz(func(t *testing.T, text string) {
+		got, err := Parse(text)
+		if err == nil {
+			require.NotZero(t, got.Number)
+			return
+		}
+		require.NotEmpty(t, err.Error())
+	})
+}
+
+// An operator decides by the difference whether to send the ticket.
+func TestDiff(t *testing.T) {
+	base, err := Parse(full)
+	require.NoError(t, err)
+	next, err := Parse(strings.NewReplacer("500ms", "700ms", "class: normal", "class: routine", "remove: [depot]", "remove: [old]").Replace(full))
+	require.NoError(t, err)
+	before := base.Spec
+	before.Services = append(before.Services, pollenlatch.Service{Name: "old"})
+	got := Diff(before, Merge(before, next.Spec))
+	require.Equal(t, Change{"services[listing].maxrun", "500ms", "700ms"}, got[0])
+	require.Equal(t, Change{"services[listing].rules[1].class", "normal", "routine"}, got[1])
+	require.Equal(t, Change{Path: "services[old].name", Old: `"old"`}, got[2])
+	require.Empty(t, Diff(before, before))
+	require.Contains(t, Diff(pollenlatch.Spec{}, next.Spec), Change{Path: "services[listing].ranges", New: "2048"})
+}
