--- a/field/doc.go
+++ b/field/doc.go
@@ -22,6 +22,10 @@
 // keeps its value. File names the document in faults and may be empty.
 func Read(file string, text []byte, out any) *Doc {
 	d := &Doc{file: file, lines: make(map[string]int)}
+	if nests(text) {
+		d.add(0, "", "the document is nested more than %d deep", maxNesting)
+		return d
+	}
 	f, err := parser.ParseBytes(text, 0)
 	if err != nil {
 		d.syntax(err)
@@ -38,6 +42,33 @@
 	return d
 }
 
+// maxNesting bounds brackets and list marks that are open at once. The parser's
+// time grows with the square of the nesting: 30,000 brackets take it a second.
+const maxNesting = 200
+
+// nests reports whether a text is nested too deeply to be parsed. It counts
+// brackets and list marks without regard to quotes.
+func nests(text []byte) bool {
+	depth, marks := 0, 0
+	for _, c := range text {
+		switch c {
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth = max(0, depth-1)
+		case '-':
+			marks++
+		case ' ':
+		default:
+			marks = 0
+		}
+		if depth > maxNesting || marks > maxNesting {
+			return true
+		}
+	}
+	return false
+}
+
 // Has reports whether the document sets the field.
 func (d *Doc) Has(path string) bool {
 	_, ok := d.lines[path]
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -85,6 +85,8 @@
 		{"empty", "", "the document is empty"},
 		{"syntax", "number: 1\nservices: [\n", "YAML syntax"},
 		{"two documents", "number: 1\n---\nnumber: 2\n", "one document"},
+		{"nested brackets", strings.Repeat("[", 1<<18), "nested more than"},
+		{"nested lists", strings.Repeat("- ", 1<<17), "nested more than"},
 		{"no mapping", "- 1\n", "must be a mapping of fields, not a list"},
 		{"no number", "remove: [a]\n", "number: is missing"},
 		{"negative number", "number: -1\nremove: [a]\n", "line 1: number: must not be below 0"},
