--- a/conf/defaults.go
+++ b/conf/defaults.go
@@ -14,7 +14,7 @@
 			Admin: "127.0.0.1:7002",
 		},
 		Timings: Timings{
-			Lease:     600 * time.Millisecond,
+			Lease:     500 * time.Millisecond,
 			Renew:     100 * time.Millisecond,
 			Heartbeat: 40 * time.Millisecond,
 			Election:  120 * time.Millisecond,
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -1,12 +1,11 @@
 package ticket
 
 import (
+	"errors"
 	"fmt"
 	"math/bits"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pollenlatch"
 	"pollenlatch/field"
 )
@@ -61,9 +60,9 @@
 	return fmt.Errorf("%q is not a class; the classes are urgent, normal and routine", b)
 }
 
-// Parse reads a ticket document. The result has the number, text, digest and
-// spec set. The error is a *field.Error with every fault.
-func Parse(text string) (pollenlatch.Ticket, error) {
+// Parse reads a ticket document. The error is a *field.Error with every fault;
+// the number is returned with it when it could be read.
+func Parse(text string) (number uint64, spec pollenlatch.Spec, err error) {
 	var doc document
 	d := field.Read("", []byte(text), &doc)
 	if d.Err() == nil {
@@ -71,14 +70,18 @@
 		check(d, &doc)
 	}
 	if err := d.Err(); err != nil {
-		return pollenlatch.Ticket{}, err
+		return doc.Number, pollenlatch.Spec{}, err
+	}
+	return doc.Number, doc.spec(), nil
+}
+
+// Faults returns the faults of an error of Parse, one string each.
+func Faults(err error) []string {
+	var e *field.Error
+	if errors.As(err, &e) {
+		return e.Strings()
 	}
-	return pollenlatch.Ticket{
-		Number: doc.Number,
-		Text:   text,
-		Digest: xxhash.Sum64String(text),
-		Spec:   doc.spec(),
-	}, nil
+	return []string{err.Error()}
 }
 
 func (t *document) spec() pollenlatch.Spec {
