--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -1,80 +1,121 @@
-// Package ticket reads ticket documents.
 package ticket
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math/bits"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"pollenlatch"
+	"pollenlatch/field"
 )
 
-// Defaults of a service.
-const (
-	DefaultRanges    = 1024
-	DefaultMaxRun    = 2 * time.Second
-	DefaultQueue     = 100
-	DefaultRecordTTL = 10 * time.Minute
-)
-
-// ErrRanges says that the number of ranges is not a power of two.
-var ErrRanges = errors.New("ranges must be a power of two")
-
+// document is a ticket as it is written.
 type document struct {
-	Number   uint64    `yaml:"number"`
-	Services []service `yaml:"services"`
-	Remove   []string  `yaml:"remove"`
+	Number   uint64               `yaml:"number"`
+	Services []service            `yaml:"services"`
+	Callers  []pollenlatch.Caller `yaml:"callers"`
+	Voters   []pollenlatch.Member `yaml:"voters"`
+	Remove   []string             `yaml:"remove"`
 }
 
 type service struct {
-	Name   string        `yaml:"name"`
-	Keyed  bool          `yaml:"keyed"`
-	Ranges uint          `yaml:"ranges"`
-	MaxRun time.Duration `yaml:"maxrun"`
-	Queue  uint32        `yaml:"queue"`
+	Name       string              `yaml:"name"`
+	Keyed      bool                `yaml:"keyed"`
+	Ranges     uint32              `yaml:"ranges"`
+	MaxRun     time.Duration       `yaml:"maxrun"`
+	Queue      uint32              `yaml:"queue"`
+	Weights    pollenlatch.Weights `yaml:"weights"`
+	Objectives []objective         `yaml:"objectives"`
+	Rules      []rule              `yaml:"rules"`
+	DCs        []string            `yaml:"dcs"`
+	Idempotent []string            `yaml:"idempotent"`
+	RecordTTL  time.Duration       `yaml:"recordttl"`
+}
+
+type objective struct {
+	Class        class         `yaml:"class"`
+	Availability float64       `yaml:"availability"`
+	Latency      time.Duration `yaml:"latency"`
+	Fast         float64       `yaml:"fast"`
+}
+
+type rule struct {
+	Caller string `yaml:"caller"`
+	Kind   string `yaml:"kind"`
+	Class  class  `yaml:"class"`
+}
+
+// class reads the name of a class.
+type class pollenlatch.Class
+
+// UnmarshalText reads the name of a class.
+func (c *class) UnmarshalText(b []byte) error {
+	for _, k := range []pollenlatch.Class{pollenlatch.Urgent, pollenlatch.Normal, pollenlatch.Routine} {
+		if k.String() == string(b) {
+			*c = class(k)
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is not a class; the classes are urgent, normal and routine", b)
 }
 
-// Parse reads a ticket document.
+// Parse reads a ticket document. The error is a *field.Error with every fault;
+// the number is returned with it when it could be read.
 func Parse(text string) (number uint64, spec pollenlatch.Spec, err error) {
-	var d document
-	if err := yaml.NewDecoder(bytes.NewBufferString(text), yaml.Strict()).Decode(&d); err != nil {
-		return 0, spec, err
+	var doc document
+	d := field.Read("", []byte(text), &doc)
+	if d.Err() == nil {
+		complete(d, &doc)
+		check(d, &doc)
 	}
-	for i, s := range d.Services {
-		out, err := s.spec()
-		if err != nil {
-			return d.Number, spec, fmt.Errorf("services[%d]: %w", i, err)
-		}
-		spec.Services = append(spec.Services, out)
+	if err := d.Err(); err != nil {
+		return doc.Number, pollenlatch.Spec{}, err
 	}
-	spec.Remove = d.Remove
-	return d.Number, spec, nil
+	return doc.Number, doc.spec(), nil
 }
 
-func (s service) spec() (pollenlatch.Service, error) {
-	if s.Ranges == 0 {
-		s.Ranges = DefaultRanges
+// Faults returns the faults of an error of Parse, one string each.
+func Faults(err error) []string {
+	var e *field.Error
+	if errors.As(err, &e) {
+		return e.Strings()
 	}
-	if bits.OnesCount(s.Ranges) != 1 {
-		return pollenlatch.Service{}, fmt.Errorf("%w, not %d", ErrRanges, s.Ranges)
+	return []string{err.Error()}
+}
+
+func (t *document) spec() pollenlatch.Spec {
+	spec := pollenlatch.Spec{Callers: t.Callers, Voters: t.Voters, Remove: t.Remove}
+	for _, s := range t.Services {
+		spec.Services = append(spec.Services, s.service())
 	}
+	return spec
+}
+
+func (s *service) service() pollenlatch.Service {
 	out := pollenlatch.Service{
-		Name: s.Name, Keyed: s.Keyed, Bits: uint32(bits.TrailingZeros(s.Ranges)),
-		MaxRun: s.MaxRun, Queue: s.Queue, RecordTTL: DefaultRecordTTL,
-		Weights: pollenlatch.Weights{Imbalance: 1, Churn: 1, Unavailable: 1},
+		Name:       s.Name,
+		Keyed:      s.Keyed,
+		Bits:       uint32(bits.TrailingZeros32(s.Ranges)),
+		MaxRun:     s.MaxRun,
+		Queue:      s.Queue,
+		Weights:    s.Weights,
+		DCs:        s.DCs,
+		Idempotent: s.Idempotent,
+		RecordTTL:  s.RecordTTL,
 	}
-	if out.MaxRun == 0 {
-		out.MaxRun = DefaultMaxRun
+	for _, o := range s.Objectives {
+		out.Objectives = append(out.Objectives, pollenlatch.Objective{
+			Class:        pollenlatch.Class(o.Class),
+			Availability: o.Availability,
+			Latency:      o.Latency,
+			Fast:         o.Fast,
+		})
 	}
-	if out.Queue == 0 {
-		out.Queue = DefaultQueue
+	for _, r := range s.Rules {
+		out.Rules = append(out.Rules, pollenlatch.Rule{Caller: r.Caller, Kind: r.Kind, Class: pollenlatch.Class(r.Class)})
 	}
-	return out, nil
+	return out
 }
 
-// Faults returns the faults of a document, one for each error.
-func Faults(err error) []string { return []string{err.Error()} }
+func index(path string, i int) string { return fmt.Sprintf("%s[%d]", path, i) }
