Put disk, admission, records and hand-over of records into the daemon

Cause: the thin path passed over admission and kept the voters' log in memory. Change: the daemon opens the voter's data folder, runs requests through package serve, and hands idempotency records to the next owner before it releases a shard. The control loop ends its disk worker before Done, since the race detector saw the folder being closed during a write. Conclusion: the whole path runs on the real parts.

--- a/ctrl/ctrl_test.go
+++ b/ctrl/ctrl_test.go
@@ -115,7 +115,8 @@
 		t.Run(name, func(t *testing.T) {
 			n := s.nodes[name]
 			n.pause()
-			require.True(t, s.until(2*time.Second, s.allOwned), "ranges of the paused process stay without owner")
+			s.run(2 * s.timing.Lease)
+			require.True(t, s.allOwned(), "ranges of the paused process stay without owner")
 			n.resume()
 			require.LessOrEqual(t, n.access.Until, s.now, "the lease outlived the pause")
 			s.run(3 * time.Second)
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -63,6 +63,7 @@
 	disk    chan quorum.Persist
 	synced  chan Synced
 	grants  chan func(context.Context)
+	ending  chan struct{} // closed when no more events are handled
 	done    chan struct{}
 	drained chan struct{}
 	left    chan struct{}
@@ -81,6 +82,7 @@
 		l.disk = make(chan quorum.Persist, diskQueue)
 		l.synced = make(chan Synced, 2*diskQueue)
 		l.grants = make(chan func(context.Context), 1)
+		l.ending = make(chan struct{})
 		l.done = make(chan struct{})
 		l.drained = make(chan struct{})
 		l.left = make(chan struct{})
@@ -103,7 +105,7 @@
 	go l.run(ctx)
 }
 
-// Done is closed when the loop has ended.
+// Done is closed when the loop has ended and the disk is no longer used.
 func (l *Loop) Done() <-chan struct{} {
 	l.open()
 	return l.done
@@ -167,7 +169,7 @@
 	case <-ctx.Done():
 		l.post(func(now pollenlatch.Mono) Event { return Withdrawn{Now: now, ID: id} })
 		return pollenlatch.Verdict{}, context.Cause(ctx)
-	case <-l.done:
+	case <-l.ending:
 		return pollenlatch.Verdict{}, ErrClosed
 	}
 }
@@ -178,7 +180,7 @@
 	l.open()
 	select {
 	case l.events <- ev:
-	case <-l.done:
+	case <-l.ending:
 	}
 }
 
@@ -204,10 +206,11 @@
 
 func (l *Loop) end() {
 	l.Desk.Publish(Access{View: l.Reducer.State()})
-	close(l.done)
+	close(l.ending)
 	close(l.disk)
 	close(l.grants)
 	l.workers.Wait()
+	close(l.done)
 }
 
 func (l *Loop) step(ctx context.Context, ev Event) {
@@ -275,7 +278,7 @@
 	for p := range l.disk {
 		select {
 		case l.synced <- Synced{Seq: p.Seq, Err: l.Disk.Save(p)}:
-		case <-l.done:
+		case <-l.ending:
 		}
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,14 +15,17 @@
 	"k8s.io/klog/v2"
 
 	"pollenlatch"
+	"pollenlatch/admit"
 	"pollenlatch/ctrl"
 	"pollenlatch/front"
 	"pollenlatch/link"
 	"pollenlatch/local"
+	"pollenlatch/once"
 	"pollenlatch/pick"
 	"pollenlatch/plan"
 	"pollenlatch/quorum"
 	"pollenlatch/relay"
+	"pollenlatch/serve"
 )
 
 // Config is what a daemon is made of. Addresses are host:port.
@@ -38,14 +41,8 @@
 	Voter  *Voter // nil in a process that is not a voter
 	Timing ctrl.Timing
 	Drain  time.Duration // longest time for requests in flight at the end; 0 is DefaultDrain
-}
 
-// Voter is what a voter has besides: its place in the group and its log.
-type Voter struct {
-	Self    pollenlatch.Member
-	Genesis []pollenlatch.Member
-	Disk    ctrl.Disk
-	Log     quorum.Start
+	Sessions int // most sessions to other daemons; 0 is the link's default
 }
 
 // DefaultDrain is the longest time that a daemon waits for requests in flight
@@ -67,13 +64,18 @@
 	node  *link.Node
 	local *local.Local
 	relay *relay.Relay
+	gate  *admit.Gate
+	once  *once.Store
+	serve *serve.Server
 	front *front.Server
 	done  chan struct{}
+	errs  chan error
 
-	mu       sync.Mutex
-	peers    map[string]link.Peer // by name, on the newest session
-	endpoint pollenlatch.Endpoint
-	errs     chan error
+	mu        sync.Mutex
+	peers     map[string]link.Peer // by name, on the newest session
+	endpoint  pollenlatch.Endpoint
+	announced bool
+	transfers transfers
 
 	abort   sync.Once
 	aborted chan struct{}
@@ -108,25 +110,32 @@
 func (d *Daemon) connect() error {
 	d.local = local.New(local.Config{Facts: d})
 	d.relay = relay.New(relay.Config{MaxRun: d.maxRun})
+	d.gate = admit.New(admit.Config{Queue: d.queue, Limit: d.limit})
+	d.once = once.New(once.Config{})
+	d.serve = serve.New(serve.Config{
+		Control: &d.desk, Gate: d.gate, Exchanger: d.relay, Records: d.once,
+		Endpoint: d.server, Suspect: d.local.Probe, Front: d.cfg.Front,
+	})
 	node, err := link.New(link.Config{
 		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.life, Key: d.cfg.Key,
-		Control: d.receive, Requests: pollenlatch.HandlerFunc(d.serve),
+		Control: d.receive, Requests: d.serve, Sessions: d.cfg.Sessions,
 	})
 	if err != nil {
 		return err
 	}
 	d.node = node
 	d.loop = &ctrl.Loop{
-		Reducer: ctrl.New(d.reducerConfig()),
-		Desk:    &d.desk,
-		Sender:  d,
-		Granter: d.local,
+		Reducer:  ctrl.New(d.reducerConfig()),
+		Desk:     &d.desk,
+		Sender:   d,
+		Granter:  d.local,
+		Transfer: d.transfer,
 	}
 	if v := d.cfg.Voter; v != nil {
 		d.loop.Disk, d.loop.Log = v.Disk, &v.Log
 	}
 	router := front.NewRouter(front.RouterConfig{
-		Control: &d.desk, Local: pollenlatch.HandlerFunc(d.serve), Forward: node, Picker: pick.First{}, DC: d.cfg.DC,
+		Control: &d.desk, Local: d.serve, Forward: node, Picker: pick.First{}, DC: d.cfg.DC,
 	})
 	d.front, err = front.NewServer(front.Config{Control: &d.desk, Handler: router, Front: d.cfg.Front})
 	return err
@@ -174,6 +183,7 @@
 		return err
 	}
 	d.loop.Start(life)
+	go d.measure(life)
 	klog.InfoS("daemon started", "instance", d.cfg.Name, "dc", d.cfg.DC, "link", d.cfg.Link, "front", d.cfg.Front)
 	var err error
 	select {
@@ -243,6 +253,11 @@
 	<-d.loop.Done()
 	d.relay.Close()
 	_ = d.local.Close()
+	if v := d.cfg.Voter; v != nil {
+		if err := v.Disk.Close(); err != nil {
+			klog.ErrorS(err, "data folder not closed", "instance", d.cfg.Name)
+		}
+	}
 }
 
 // Send implements ctrl.Sender.
@@ -259,6 +274,14 @@
 }
 
 func (d *Daemon) receive(from link.Peer, m *pollenlatch.Message) {
+	switch {
+	case m.Records != nil:
+		from.Send(&pollenlatch.Message{Received: d.importRecords(from.Name, m.Records)})
+		return
+	case m.Received != nil:
+		d.transfers.answer(m.Received)
+		return
+	}
 	d.mu.Lock()
 	d.peers[from.Name] = from
 	d.mu.Unlock()
@@ -268,21 +291,29 @@
 // Announce implements pollenlatch.Facts.
 func (d *Daemon) Announce(e pollenlatch.Endpoint) {
 	d.mu.Lock()
-	d.endpoint = e
+	d.endpoint, d.announced = e, true
 	d.mu.Unlock()
 	d.relay.Use(e)
+	d.gate.SetSlots(int(e.Slots))
 	d.loop.Announce(e)
 }
 
 // Lost implements pollenlatch.Facts.
 func (d *Daemon) Lost() {
 	d.mu.Lock()
+	d.endpoint.Ready = false
 	e := d.endpoint
-	e.Ready = false
 	d.mu.Unlock()
 	d.loop.Announce(e)
 }
 
+// server returns what is known of the server beside this daemon.
+func (d *Daemon) server() (pollenlatch.Endpoint, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpoint, d.announced
+}
+
 // defaultMaxRun is for a service that the state no longer names.
 const defaultMaxRun = 2 * time.Second
 
@@ -293,18 +324,30 @@
 	return defaultMaxRun
 }
 
-// serve runs a request at the server beside this daemon.
-func (d *Daemon) serve(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
-	pass, err := d.desk.Enter(r.Shard, r.Fence)
-	if err != nil {
-		return nil, err
-	}
-	w, err := d.relay.Exchange(ctx, r, pass.Check)
-	if err != nil {
-		pass.Exit()
-		return nil, err
+func (d *Daemon) queue(service string) int {
+	s, _ := d.desk.View().Service(service)
+	return int(s.Queue)
+}
+
+func (d *Daemon) limit(caller string) (perSecond float64, burst int) {
+	c, _ := d.desk.View().Caller(caller)
+	return c.Rate, int(c.Burst)
+}
+
+// measureInterval is how often the load of the server is reported.
+const measureInterval = time.Second
+
+// measure reports the load of the server beside this daemon until ctx ends.
+func (d *Daemon) measure(ctx context.Context) {
+	t := time.NewTicker(measureInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			running, waiting := d.gate.Load()
+			d.loop.Measure(pollenlatch.Load{InFlight: uint32(running), Queued: uint32(waiting)})
+		case <-ctx.Done():
+			return
+		}
 	}
-	w.Owner = d.cfg.Front
-	w.Body = &passBody{ReadCloser: w.Body, pass: pass}
-	return w, nil
 }
--- /dev/null
+++ b/daemon/voter.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+
+	"pollenlatch"
+	"pollenlatch/quorum"
+	"pollenlatch/store"
+)
+
+// Voter is what a voter has besides: its identity, its log, and the first
+// voters of its group.
+type Voter struct {
+	Self    pollenlatch.Member
+	Genesis []pollenlatch.Member // incarnations are 0: they show at the first contact
+	Disk    interface {
+		Save(p quorum.Persist) error
+		io.Closer
+	}
+	Log quorum.Start
+}
+
+// OpenVoter opens the data folder of a voter. The error is that of package
+// store, or ErrConfig when the folder belongs to another voter or the voter is
+// not among the first ones and has no address.
+func OpenVoter(folder, name, addr string, genesis []pollenlatch.Member) (*Voter, error) {
+	s, err := store.Open(store.Dir(folder))
+	if err != nil {
+		return nil, err
+	}
+	id := s.Identity()
+	if id.Name != name {
+		return nil, fmt.Errorf("%w: data folder %s belongs to voter %q, not %q", ErrConfig, folder, id.Name, name)
+	}
+	return &Voter{
+		Self:    pollenlatch.Member{Name: name, Incarnation: id.Incarnation, Addr: addr},
+		Genesis: genesis,
+		Disk:    s,
+		Log:     s.Start(pollenlatch.System{}.Now()),
+	}, nil
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"pollenlatch/ctrl"
 	"pollenlatch/daemon"
 	"pollenlatch/sample"
+	"pollenlatch/store"
 )
 
 // Place is one instance of the deployment.
@@ -80,9 +81,13 @@
 		}
 		f.nodes[p.Name] = &Node{Place: p, Addrs: addrs}
 		f.order = append(f.order, p.Name)
-		if p.Voter {
-			f.voters = append(f.voters, pollenlatch.Member{Name: p.Name, Incarnation: genesisIncarnation(p.Name), Addr: addrs.Link})
+		if !p.Voter {
+			continue
+		}
+		if _, err := store.Init(f.folder(p.Name), p.Name); err != nil {
+			return nil, fmt.Errorf("voter %s: %w", p.Name, err)
 		}
+		f.voters = append(f.voters, pollenlatch.Member{Name: p.Name, Addr: addrs.Link})
 	}
 	for _, name := range f.order {
 		if err := f.Restart(name); err != nil {
@@ -93,6 +98,8 @@
 	return f, nil
 }
 
+func (f *Fleet) folder(name string) store.Dir { return store.Dir(filepath.Join(f.cfg.Dir, name)) }
+
 // freeAddrs picks ports that are free now.
 func freeAddrs() (Addrs, error) {
 	var a Addrs
@@ -139,7 +146,7 @@
 		Voters: f.voters, Timing: f.cfg.Timing,
 	}
 	if n.Voter {
-		v, err := openVoter(filepath.Join(f.cfg.Dir, n.Name), n.Name, f.voters)
+		v, err := daemon.OpenVoter(string(f.folder(n.Name)), n.Name, n.Addrs.Link, f.voters)
 		if err != nil {
 			return nil, err
 		}
