Keep requests that may still run counted until their deadline

Cause: a request whose connection broke, or whose caller went away, left the count of requests in flight at once, though a frozen server may still run it until its deadline. A hand-over that did not wait for it would let the next owner act beside it. Change: such a request stays counted for the service's maxrun (Pass.ExitAfter); its slot is free at once, as before. Measured: go test -race ./serve: the rows "connection lost", "answer cut" and "exchange breaks its promise", a panic and a body closed early stay counted for 1 s of the fake clock; before, 0 s. Conclusion: a planned move no longer overlaps with them. It may take up to maxrun longer when a server fails.

--- a/ctrl/access.go
+++ b/ctrl/access.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"pollenlatch"
 	"pollenlatch/lease"
@@ -151,3 +152,6 @@
 func (p *pass) Exit() {
 	p.once.Do(func() { p.desk.counter.Done(p.key) })
 }
+
+// ExitAfter ends the request once d has passed.
+func (p *pass) ExitAfter(d time.Duration) { time.AfterFunc(d, p.Exit) }
--- a/load/truth_test.go
+++ b/load/truth_test.go
@@ -57,6 +57,8 @@
 func (p ownerPass) Check() error { return nil }
 func (p ownerPass) Exit()        { p.o.inFlight.Add(-1) }
 
+func (p ownerPass) ExitAfter(d time.Duration) { time.AfterFunc(d, p.Exit) }
+
 // entry answers callers' HTTP by the pipeline, as far as the test needs it.
 func entry(h pollenlatch.Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/port.go
+++ b/port.go
@@ -33,6 +33,9 @@
 	Check() error
 	// Exit ends the request. It may be called more than once.
 	Exit()
+	// ExitAfter ends the request once d has passed. It is for a request without
+	// a whole answer, which the server may run until its deadline.
+	ExitAfter(d time.Duration)
 }
 
 // Work describes a request that waits for a slot of the server.
--- a/serve/body.go
+++ b/serve/body.go
@@ -1,18 +1,20 @@
 package serve
 
 import (
+	"errors"
 	"io"
 	"sync"
+	"time"
 
 	"pollenlatch"
 )
 
 // counted returns resp with a body that ends the request when it has been read
 // or closed.
-func counted(resp *pollenlatch.Response, pass pollenlatch.Pass, release func()) *pollenlatch.Response {
-	b := &body{ReadCloser: resp.Body, pass: pass, release: release}
+func counted(resp *pollenlatch.Response, pass pollenlatch.Pass, maxRun time.Duration, release func()) *pollenlatch.Response {
+	b := &body{ReadCloser: resp.Body, pass: pass, maxRun: maxRun, release: release}
 	if resp.Length == 0 {
-		b.end() // there is nothing to read
+		b.end(true) // there is nothing to read
 	}
 	return &pollenlatch.Response{ResponseHead: resp.ResponseHead, Body: b}
 }
@@ -21,6 +23,7 @@
 type body struct {
 	io.ReadCloser
 	pass    pollenlatch.Pass
+	maxRun  time.Duration
 	release func()
 	once    sync.Once
 }
@@ -30,7 +33,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
-		b.end()
+		b.end(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
@@ -38,13 +41,14 @@
 // Close ends the request.
 func (b *body) Close() error {
 	err := b.ReadCloser.Close()
-	b.end()
+	b.end(false)
 	return err
 }
 
-func (b *body) end() {
+// end ends the request. whole means that the server has finished it.
+func (b *body) end(whole bool) {
 	b.once.Do(func() {
-		b.pass.Exit()
+		exit(b.pass, whole, b.maxRun)
 		b.release()
 	})
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -120,7 +120,8 @@
 		release()
 		return nil, fail(err)
 	}
-	kept := false // counted until the answer has been read
+	kept := false   // counted until the answer has been read
+	proven := false // it did not run
 	defer func() {
 		if kept {
 			return
@@ -130,7 +131,7 @@
 		if run != nil {
 			run.Fail(pollenlatch.Unknown)
 		}
-		pass.Exit()
+		exit(pass, proven, service.MaxRun)
 		release()
 	}()
 	q := *r
@@ -141,6 +142,7 @@
 	resp, err := s.cfg.Exchanger.Exchange(ctx, &q, pass.Check)
 	if err != nil {
 		f := fail(err)
+		proven = f.Outcome == pollenlatch.NotRun
 		s.suspect(f)
 		return nil, f
 	}
@@ -148,7 +150,18 @@
 		resp = run.Response(resp)
 	}
 	kept = true
-	return counted(resp, pass, release), nil
+	return counted(resp, pass, service.MaxRun, release), nil
+}
+
+// exit ends the pass of a request. One that may still run at the server stays
+// counted until the server drops it for its deadline, which is at most maxRun
+// after the ownership check: another owner must not act before that.
+func exit(pass pollenlatch.Pass, ended bool, maxRun time.Duration) {
+	if ended {
+		pass.Exit()
+		return
+	}
+	pass.ExitAfter(maxRun)
 }
 
 // suspect asks for a probe after failures that a lost server causes.
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -70,6 +70,10 @@
 func (p pass) Check() error { return p.c.check }
 func (p pass) Exit()        { p.c.inFlight.Add(-1) }
 
+func (p pass) ExitAfter(d time.Duration) {
+	time.AfterFunc(d, p.Exit)
+}
+
 // exchanger answers "claimed", or fails.
 type exchanger struct {
 	err  error
@@ -119,7 +123,7 @@
 	b := &bench{
 		control: &control{state: state{
 			version: 30,
-			service: pollenlatch.Service{Name: "claims", Keyed: true, Bits: 4},
+			service: pollenlatch.Service{Name: "claims", Keyed: true, Bits: 4, MaxRun: maxRun},
 			owner:   pollenlatch.Owner{Shard: shard, Instance: 1, Fence: 20},
 		}, changed: make(chan struct{})},
 		gate:     admit.New(admit.Config{}),
@@ -163,6 +167,19 @@
 		"running, waiting and in flight after the end")
 }
 
+// requireCountedUntilDeadline checks that a request that the server may still
+// run frees its slot but holds up a hand-over until its deadline.
+func (b *bench) requireCountedUntilDeadline(t *testing.T) {
+	t.Helper()
+	running, _ := b.gate.Load()
+	require.Equal(t, []int64{0, 1}, []int64{int64(running), b.control.inFlight.Load()}, "running and in flight")
+	<-time.After(maxRun)
+	synctest.Wait()
+	b.requireNothingCounted(t)
+}
+
+const maxRun = time.Second
+
 // A wrong outcome makes a caller repeat what ran or give up what did not, and
 // a request that stays counted holds up hand-overs or takes a slot for good.
 // These are the rows of the outcome table for the owner's daemon.
@@ -209,6 +226,9 @@
 				var f *pollenlatch.Failure
 				require.ErrorAs(t, err, &f)
 				require.Equal(t, []any{c.outcome, c.why, c.status}, []any{f.Outcome, f.Reason, f.Status}, f.Detail)
+				if c.why == pollenlatch.Broken {
+					b.requireCountedUntilDeadline(t)
+				}
 				<-time.After(2 * time.Second)
 				b.requireNothingCounted(t)
 				records, _ := b.records.Size()
@@ -258,24 +278,28 @@
 // A fault of the program in one exchange must not take a slot for good, and
 // what it left behind may have run.
 func TestPanic(t *testing.T) {
-	b := newBench()
-	b.exchange.panics = true
-	require.Panics(t, func() { _, _ = b.call(request()) })
-	b.requireNothingCounted(t)
-	b.exchange.panics = false
-	_, err := b.call(request())
-	var f *pollenlatch.Failure
-	require.ErrorAs(t, err, &f)
-	require.Equal(t, pollenlatch.Repeat, f.Reason)
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.exchange.panics = true
+		require.Panics(t, func() { _, _ = b.call(request()) })
+		b.requireCountedUntilDeadline(t)
+		b.exchange.panics = false
+		_, err := b.call(request())
+		var f *pollenlatch.Failure
+		require.ErrorAs(t, err, &f)
+		require.Equal(t, pollenlatch.Repeat, f.Reason)
+	})
 }
 
 // A body that nobody reads must not hold the slot after it is closed.
 func TestClosedEarly(t *testing.T) {
-	b := newBench()
-	resp, err := b.server.Handle(t.Context(), request())
-	require.NoError(t, err)
-	require.NoError(t, resp.Body.Close())
-	b.requireNothingCounted(t)
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		resp, err := b.server.Handle(t.Context(), request())
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		b.requireCountedUntilDeadline(t)
+	})
 }
 
 // A safe request needs no record: it may run as often as it likes.
