Add the administration API

Cause: operators and monitoring need tickets, status, owners and draining from any instance. Change: package admin serves JSON over fasthttp through an interface that the daemon implements. Conclusion: complete against a stand-in; the daemon does not implement Control yet.

--- /dev/null
+++ b/admin/status.go
@@ -0,0 +1,130 @@
+package admin
+
+import (
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"pollenlatch"
+)
+
+func (s *Server) status(c *call) {
+	view := s.control.View()
+	st := Status{
+		Process:  s.control.Status(),
+		Next:     view.Next(),
+		Voters:   view.Voters(),
+		Services: []ServiceStatus{},
+	}
+	instances := view.Instances()
+	for _, i := range instances {
+		if i.Alive() {
+			st.Alive++
+		} else {
+			st.Lost++
+		}
+	}
+	for _, svc := range view.Services() {
+		st.Services = append(st.Services, serviceStatus(view, svc))
+	}
+	if c.QueryArgs().GetBool("instances") {
+		st.Instances = instances
+	}
+	c.reply(fasthttp.StatusOK, st)
+}
+
+func serviceStatus(view View, svc pollenlatch.Service) ServiceStatus {
+	st := ServiceStatus{Name: svc.Name, Keyed: svc.Keyed, Ranges: svc.Ranges()}
+	view.Shards(svc.Name, func(o pollenlatch.Owner) bool {
+		if o.Key != "" {
+			st.HotKeys++
+		}
+		if o.Instance == 0 {
+			st.Unowned++
+		}
+		if o.Frozen() {
+			st.Moving++
+		}
+		return true
+	})
+	for _, i := range view.Endpoints(svc.Name) {
+		st.Endpoints++
+		if i.Usable() {
+			st.Usable++
+		}
+	}
+	return st
+}
+
+func (s *Server) owner(c *call) {
+	service, key := string(c.QueryArgs().Peek("service")), string(c.QueryArgs().Peek("key"))
+	if service == "" || key == "" {
+		c.fail(fasthttp.StatusBadRequest, "give the query arguments service and key")
+		return
+	}
+	view := s.control.View()
+	o, ok := view.Owner(service, key)
+	if !ok {
+		c.fail(fasthttp.StatusNotFound, "there is no service %q", service)
+		return
+	}
+	c.reply(fasthttp.StatusOK, s.describe(view, key, o))
+}
+
+// describe tells who owns a key, since when and why.
+func (s *Server) describe(view View, key string, o pollenlatch.Owner) Owner {
+	out := Owner{
+		Service:   o.Service,
+		Key:       key,
+		Range:     o.Range,
+		Hot:       o.Key != "",
+		Fence:     o.Fence,
+		Last:      nameOf(view, o.Last),
+		Next:      nameOf(view, o.Next),
+		NoRecords: o.NoRecords,
+		Reason:    reason(view, o),
+		Version:   view.Version(),
+	}
+	if i, ok := view.Instance(o.Instance); ok {
+		out.Instance = &i
+	}
+	if origin, ok := s.control.Origin(o); ok {
+		out.Since = &origin.Since
+		if origin.Reason != "" && o.Instance != 0 {
+			out.Reason += ": " + origin.Reason
+		}
+	}
+	return out
+}
+
+// reason tells in words what the record of a shard says.
+func reason(view View, o pollenlatch.Owner) string {
+	switch {
+	case o.Instance == 0 && o.Fence == 0:
+		return "no instance has owned it yet"
+	case o.Instance == 0 && o.Last != 0:
+		return fmt.Sprintf("no owner since the lease of %s ended", nameOf(view, o.Last))
+	case o.Instance == 0:
+		return "no owner"
+	case o.Frozen() && o.Next == o.Instance:
+		return "its own record is being removed"
+	case o.Frozen():
+		return fmt.Sprintf("being handed over to %s", nameOf(view, o.Next))
+	case o.NoRecords:
+		return fmt.Sprintf("assigned by log entry %d without the records of its last owner", o.Fence)
+	default:
+		return fmt.Sprintf("assigned by log entry %d", o.Fence)
+	}
+}
+
+// nameOf returns the name of an instance, "" for none, and its number when it
+// is no longer known.
+func nameOf(view View, id pollenlatch.InstanceID) string {
+	if id == 0 {
+		return ""
+	}
+	if i, ok := view.Instance(id); ok {
+		return i.Name
+	}
+	return fmt.Sprintf("instance %d", id)
+}
--- a/state/history.go
+++ b/state/history.go
@@ -21,7 +21,7 @@
 type Record struct {
 	Number  uint64              `json:"number"`
 	Text    string              `json:"text,omitempty"` // empty when it is no longer kept
-	Sum     string              `json:"sum"`            // first 16 bytes of the text's SHA-256
+	Sum     string              `json:"-"`              // first 16 bytes of the text's SHA-256
 	Sender  string              `json:"sender"`
 	At      int64               `json:"at"` // Unix milliseconds
 	Verdict pollenlatch.Verdict `json:"verdict"`
--- a/state/ticket.go
+++ b/state/ticket.go
@@ -8,6 +8,10 @@
 	"pollenlatch"
 )
 
+// NumberFault starts the fault of a ticket that was refused for its number and
+// not for its content.
+const NumberFault = "number: "
+
 // Bounds of what a ticket may name.
 const (
 	MaxVoters = 5
@@ -58,20 +62,20 @@
 	case t.Number == next:
 		return pollenlatch.Verdict{}, false
 	case t.Number == 0:
-		refused.Faults = []string{fmt.Sprintf("number: tickets are numbered from 1; the next number is %d", next)}
+		refused.Faults = []string{fmt.Sprintf(NumberFault+"tickets are numbered from 1; the next number is %d", next)}
 		return refused, true
 	case t.Number > next:
-		refused.Faults = []string{fmt.Sprintf("number: %d leaves a gap; the next number is %d", t.Number, next)}
+		refused.Faults = []string{fmt.Sprintf(NumberFault+"%d leaves a gap; the next number is %d", t.Number, next)}
 		return refused, true
 	}
 	r, known := s.Ticket(t.Number)
 	switch {
 	case !known:
-		refused.Faults = []string{fmt.Sprintf("number: %d was decided so long ago that its record is no longer kept; the next number is %d", t.Number, next)}
+		refused.Faults = []string{fmt.Sprintf(NumberFault+"%d was decided so long ago that its record is no longer kept; the next number is %d", t.Number, next)}
 	case r.Sum == sumOf(t.Text):
 		return r.Verdict, true
 	default:
-		refused.Faults = []string{fmt.Sprintf("number: %d holds another ticket, sent by %q at %s and %s; the next number is %d",
+		refused.Faults = []string{fmt.Sprintf(NumberFault+"%d holds another ticket, sent by %q at %s and %s; the next number is %d",
 			t.Number, r.Sender, time.UnixMilli(r.At).UTC().Format(time.RFC3339), decision(r.Verdict), next)}
 	}
 	return refused, true
