Add the operator commands

Cause: operators need the administration API from a shell, with exit codes that scripts can rely on. Measured: go test -race ./cmd passes.

--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,204 @@
+package cmd
+
+import (
+	"fmt"
+	"net/url"
+	"runtime/debug"
+	"time"
+
+	"pollenlatch/admin"
+)
+
+var statusCommand = command{
+	name:     "status",
+	about:    "show the condition of an instance and of the group as it knows it",
+	examples: []string{"status", "status --instances --admin 10.1.0.11:7002", "status -o json"},
+	setup: func(f *flags) func(*env) error {
+		var instances bool
+		c := newClient(f)
+		f.boolean(&instances, "i", "instances", "also list all instances")
+		return func(e *env) error {
+			if err := c.open(e); err != nil {
+				return err
+			}
+			return c.status(instances)
+		}
+	},
+}
+
+var ownerCommand = command{
+	name:     "owner",
+	args:     "SERVICE KEY",
+	about:    "tell who owns a key, since when and why",
+	examples: []string{"owner listing lot-4711", "owner -o json claims bale-7"},
+	setup: func(f *flags) func(*env) error {
+		var service, key string
+		c := newClient(f)
+		f.positional(&service, "SERVICE")
+		f.positional(&key, "KEY")
+		return func(e *env) error {
+			if err := c.open(e); err != nil {
+				return err
+			}
+			return c.owner(service, key)
+		}
+	},
+}
+
+var drainCommand = command{
+	name:     "drain",
+	about:    "let an instance hand over its keys, finish its work and end",
+	examples: []string{"drain --admin 10.1.0.11:7002"},
+	setup: func(f *flags) func(*env) error {
+		c := newClient(f)
+		return func(e *env) error {
+			if err := c.open(e); err != nil {
+				return err
+			}
+			return c.drain()
+		}
+	},
+}
+
+// Version is the version of the program, set when it is linked.
+var Version = "dev"
+
+var versionCommand = command{
+	name:     "version",
+	about:    "print the version of the program",
+	examples: []string{"version"},
+	setup: func(*flags) func(*env) error {
+		return func(e *env) error {
+			_, err := fmt.Fprintln(e.stdout, "pollenlatch "+versionName())
+			return err
+		}
+	},
+}
+
+// versionName returns the version with the revision that it was built from.
+func versionName() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return Version
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && len(s.Value) >= 12 {
+			return Version + " " + s.Value[:12]
+		}
+	}
+	return Version
+}
+
+func (c *client) status(instances bool) error {
+	query := url.Values{}
+	if instances {
+		query.Set("instances", "true")
+	}
+	var s admin.Status
+	a, err := c.send("GET", "/v1/status", query, nil, &s)
+	if err != nil {
+		return err
+	}
+	c.show(a, func(t *table) {
+		processTable(t, s)
+		t.line("")
+		t.row("SERVICE", "KEYED", "RANGES", "UNOWNED", "MOVING", "HOT KEYS", "ENDPOINTS", "USABLE")
+		for _, v := range s.Services {
+			t.row(v.Name, yes(v.Keyed), v.Ranges, v.Unowned, v.Moving, v.HotKeys, v.Endpoints, v.Usable)
+		}
+		if instances {
+			t.line("")
+			instanceTable(t, s)
+		}
+	})
+	return nil
+}
+
+func processTable(t *table, s admin.Status) {
+	p := s.Process
+	t.row("instance", p.Name)
+	t.row("data centre", p.DC+" in "+p.Region)
+	t.row("group", p.Group)
+	t.row("program", p.Program)
+	t.row("started", p.Started.UTC().Format(time.RFC3339))
+	t.row("serving", yes(p.Serving))
+	t.row("draining", yes(p.Draining))
+	t.row("role", role(p))
+	t.row("leader", dash(p.Leader))
+	t.row("term", p.Term)
+	t.row("version", p.Version)
+	t.row("next ticket", s.Next)
+	t.row("in flight", p.InFlight)
+	t.row("queued", p.Queued)
+	t.row("instances", fmt.Sprintf("%d with a lease, %d without", s.Alive, s.Lost))
+}
+
+func role(p admin.Process) string {
+	switch {
+	case p.Leads:
+		return "leader"
+	case p.Voter:
+		return "voter"
+	default:
+		return "daemon"
+	}
+}
+
+func instanceTable(t *table, s admin.Status) {
+	t.row("INSTANCE", "DC", "LEASE", "LINK", "SERVICE", "READY", "DRAINING", "FENCED")
+	for _, i := range s.Instances {
+		service, ready, draining, fenced := "-", "-", "-", "-"
+		if e := i.Endpoint; e != nil {
+			service, ready, draining, fenced = dash(e.Service), yes(e.Ready), yes(e.Draining), yes(e.Fenced)
+		}
+		t.row(i.Name, i.DC, i.Lease, i.Addr, service, ready, draining, fenced)
+	}
+}
+
+func (c *client) owner(service, key string) error {
+	var o admin.Owner
+	a, err := c.send("GET", "/v1/owner", url.Values{"service": {service}, "key": {key}}, nil, &o)
+	if err != nil {
+		return err
+	}
+	c.show(a, func(t *table) { ownerTable(t, o) })
+	if o.Instance == nil {
+		return exitf(exitFailed, "nobody owns key %q of service %s", key, service)
+	}
+	return nil
+}
+
+func ownerTable(t *table, o admin.Owner) {
+	t.row("service", o.Service)
+	t.row("key", o.Key)
+	t.row("range", o.Range)
+	t.row("own record", yes(o.Hot))
+	if i := o.Instance; i != nil {
+		t.row("owner", i.Name)
+		t.row("data centre", i.DC)
+		t.row("callers", i.Front)
+		t.row("lease", i.Lease)
+	} else {
+		t.row("owner", "-")
+		t.row("last owner", dash(o.Last))
+	}
+	t.row("fence", o.Fence)
+	since := "not seen by this instance"
+	if o.Since != nil {
+		since = o.Since.UTC().Format(time.RFC3339Nano)
+	}
+	t.row("since", since)
+	t.row("why", o.Reason)
+	t.row("next owner", dash(o.Next))
+	t.row("version", o.Version)
+}
+
+func (c *client) drain() error {
+	var p admin.Process
+	a, err := c.send("POST", "/v1/drain", nil, nil, &p)
+	if err != nil {
+		return err
+	}
+	c.show(a, func(t *table) { t.line("%s is draining", p.Name) })
+	return nil
+}
