--- a/admin/status.go
+++ b/admin/status.go
@@ -16,6 +16,9 @@
 		Voters:   view.Voters(),
 		Services: []ServiceStatus{},
 	}
+	if st.Voters == nil {
+		st.Voters = []pollenlatch.Member{}
+	}
 	instances := view.Instances()
 	for _, i := range instances {
 		if i.Alive() {
