relay: see answers that come before the whole request was sent

Cause: a server that refuses a long request without reading it left the write blocked until maxrun, and its refusal became an unknown outcome. An idle connection was taken for closed once the deadline of its last exchange had passed. Change: after the first bytes, writes look for an answer; the deadline is cleared before an idle connection is checked. once: records are found by the key that decided the owner, and importing the same records again needs no further room.

--- a/once/once.go
+++ b/once/once.go
@@ -46,6 +46,7 @@
 	TTL       time.Duration     // 0 is DefaultTTL
 	Fence     pollenlatch.Fence // of the shard
 	NoRecords bool              // the shard was taken over without its records
+	Key       string            // by which the request was routed; empty: its own key
 }
 
 // id names a request with an idempotency key. Callers do not share keys.
@@ -69,7 +70,7 @@
 type record struct {
 	id
 	place place
-	key   string // the request's key
+	key   string // by which the request was routed
 	head  uint64 // digest of the request without its body
 	body  uint64 // digest of the first size bytes of the body
 	size  int64
@@ -192,10 +193,14 @@
 	if len(s.byID) >= s.cfg.Records {
 		return nil, nil, full()
 	}
+	key := rule.Key
+	if key == "" {
+		key = r.Key
+	}
 	rec = &record{
 		id:    k,
 		place: place{r.Service, r.Shard.Range},
-		key:   r.Key,
+		key:   key,
 		head:  head,
 		done:  make(chan struct{}),
 		index: -1,
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -285,7 +285,7 @@
 // new owner.
 func TestHandOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		from, to := New(Config{}), New(Config{})
+		from, to := New(Config{}), New(Config{Records: 5})
 		complete(t, from, request("a", "x"), "claimed")
 		begin(t, from, request("b", "x")).Fail(pollenlatch.Unknown)
 		begin(t, from, request("started", "x")).Start()
@@ -303,7 +303,9 @@
 		require.Zero(t, n, "a part of a refused hand-over was kept")
 		require.ErrorIs(t, New(Config{Records: 3}).Import(shard, data), ErrNoRoom)
 
-		require.NoError(t, to.Import(shard, data))
+		for range 2 { // an acknowledgement was lost
+			require.NoError(t, to.Import(shard, data))
+		}
 		requireAnswer(t, to, request("a", "x"), "claimed")
 		refused(t, to, request("a", "y"), Rule{}, pollenlatch.NotRun, pollenlatch.Conflict)
 		refused(t, to, request("b", "x"), Rule{}, pollenlatch.Unknown, pollenlatch.Repeat)
--- a/once/transfer.go
+++ b/once/transfer.go
@@ -149,7 +149,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
-	if len(s.byID)+len(e.Records) > s.cfg.Records {
+	added := 0 // the same records may be sent again
+	for i := range e.Records {
+		if s.byID[id{shard.Service, e.Records[i].Caller, e.Records[i].Idempotency}] == nil {
+			added++
+		}
+	}
+	if len(s.byID)+added > s.cfg.Records {
 		return ErrNoRoom
 	}
 	// The newest come first, and the oldest answers are dropped first.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -13,6 +13,10 @@
 	"pollenlatch"
 )
 
+// writeSlice is how long a write may block before the connection is checked for
+// an answer.
+const writeSlice = 50 * time.Millisecond
+
 // maxRefusal bounds the body of a refusal that is read to keep the connection.
 const maxRefusal = 4 << 10
 
@@ -20,6 +24,7 @@
 	errCheck = errors.New("check failed")
 	errBody  = errors.New("body of the request cannot be read")
 	errProto = errors.New("answer is not usable HTTP")
+	errEarly = errors.New("server answered before it had the whole request")
 )
 
 // exchange is one request on its connection. It is the writer below the
@@ -149,7 +154,29 @@
 	if !x.wrote {
 		return x.begin(b)
 	}
-	return x.conn.Write(b)
+	return x.proceed(b)
+}
+
+// proceed writes further bytes of a long request. It stops when the server
+// answers before it has read them: a server that refuses a request may never
+// do so, and the answer would be lost behind a write that blocks.
+func (x *exchange) proceed(b []byte) (int, error) {
+	done := 0
+	for {
+		if x.conn.pending() {
+			return done, errEarly
+		}
+		by := time.Now().Add(writeSlice)
+		if x.limit.Before(by) {
+			by = x.limit
+		}
+		_ = x.conn.SetWriteDeadline(by)
+		n, err := x.conn.Write(b[done:])
+		done += n
+		if err == nil || !isTimeout(err) || !time.Now().Before(x.limit) {
+			return done, err
+		}
+	}
 }
 
 // begin writes the first bytes. A reused connection that takes none of them
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -53,14 +53,36 @@
 	if c.raw == nil {
 		return aliveByDeadline(c.Conn)
 	}
-	open := false
+	// The deadline of the last exchange would end the read of a good connection.
+	_ = c.SetReadDeadline(time.Time{})
+	open, _ := c.peek()
+	return open
+}
+
+// pending reports whether there is something to read. It is false for
+// connections without a file descriptor.
+func (c *conn) pending() bool {
+	if c.raw == nil {
+		return false
+	}
+	_, data := c.peek()
+	return data
+}
+
+// peek reports whether the connection is open with nothing to read, or has
+// data. Neither holds for a closed one.
+func (c *conn) peek() (open, data bool) {
 	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = errors.Is(err, syscall.EAGAIN)
+		data = err == nil && n > 0
 		return true
 	})
-	return err == nil && open
+	if err != nil {
+		return false, false
+	}
+	return open, data
 }
 
 func newConn(nc net.Conn, target uint64) *conn {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -360,6 +360,11 @@
 		require.True(t, c.alive())
 		require.True(t, c.alive())
 	})
+	t.Run("past the deadline of its last exchange", func(t *testing.T) {
+		c, _ := pair(t)
+		require.NoError(t, c.SetDeadline(time.Unix(1, 0)))
+		require.True(t, c.alive())
+	})
 	t.Run("closed", func(t *testing.T) {
 		c, far := pair(t)
 		require.NoError(t, far.Close())
@@ -378,6 +383,32 @@
 	})
 }
 
+// A server that refuses a long request without reading it must not turn its
+// refusal into an unknown outcome.
+func TestEarlyAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	done := make(chan struct{})
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 409 Conflict\r\nPollen-Outcome: not-run\r\nContent-Length: 2\r\n\r\nno")
+		<-done
+		_ = c.Close()
+	}()
+	defer close(done)
+	l := New(Config{})
+	defer l.Close()
+	l.Use(pollenlatch.Endpoint{Addr: ln.Addr().String(), Conns: 1})
+	_, err = call(l, post(strings.Repeat("a", 64<<20)))
+	requireFailure(t, err, pollenlatch.NotRun, pollenlatch.Refused, 503)
+	require.Empty(t, l.pool.idle, "a connection in the middle of a request was kept")
+}
+
 // deaf looks open, but takes no byte.
 type deaf struct{ net.Conn }
 
--- a/serve/owner.go
+++ b/serve/owner.go
@@ -63,17 +63,21 @@
 	}
 	// The key decides, not the shard of the request: the key may have got a
 	// record of its own since, and the fence of its range does not show that.
-	key := r.Key
-	if !service.Keyed {
-		key = r.Idempotency
-	}
-	owner, ok := v.Owner(r.Service, key)
+	owner, ok := v.Owner(r.Service, routingKey(service, r))
 	if !ok || owner.Shard != r.Shard || owner.Fence != r.Fence || owner.Instance != s.cfg.Control.Self() {
 		return service, owner, refuse(pollenlatch.WrongOwner, http.StatusServiceUnavailable, "this instance does not own the key")
 	}
 	return service, owner, nil
 }
 
+// routingKey returns the key that decides the owner of a request.
+func routingKey(service pollenlatch.Service, r *pollenlatch.Request) string {
+	if service.Keyed {
+		return r.Key
+	}
+	return r.Idempotency
+}
+
 // available refuses what the server beside this daemon cannot take now. Keyed
 // work goes on while the server drains, until its ranges have moved.
 func (s *Server) available(r *pollenlatch.Request) *pollenlatch.Failure {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -88,7 +88,9 @@
 	case !r.Sharded():
 		return nil, nil, refuse(pollenlatch.BadRequest, http.StatusBadRequest, "a request with an idempotency key must be routed by shard")
 	}
-	return s.cfg.Records.Begin(ctx, r, once.Rule{TTL: service.RecordTTL, Fence: owner.Fence, NoRecords: owner.NoRecords})
+	return s.cfg.Records.Begin(ctx, r, once.Rule{
+		TTL: service.RecordTTL, Fence: owner.Fence, NoRecords: owner.NoRecords, Key: routingKey(service, r),
+	})
 }
 
 // run admits the request and exchanges it with the server. After a failure
