--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,119 @@
+package burn
+
+import (
+	"errors"
+	"fmt"
+
+	"pollenlatch"
+)
+
+// Report is what one daemon counted, in its encoded form.
+type Report struct {
+	Daemon  string   `protobuf:"bytes,1,opt,name=daemon"`
+	Minute  int64    `protobuf:"varint,2,opt,name=minute"` // Unix minute in which it was made
+	Series  []Series `protobuf:"bytes,3,rep,name=series"`
+	Minutes []Minute `protobuf:"bytes,4,rep,name=minutes"` // those in which the daemon was counting
+}
+
+// Minute is the events of one minute.
+type Minute struct {
+	Minute int64  `protobuf:"varint,1,opt,name=minute"` // Unix minutes
+	Cells  []Cell `protobuf:"bytes,2,rep,name=cells"`
+}
+
+// Cell is the events of one series in one minute.
+type Cell struct {
+	Series uint32 `protobuf:"varint,1,opt,name=series"` // index in Report.Series
+	N      uint64 `protobuf:"varint,2,opt,name=n"`
+	Slow   uint32 `protobuf:"varint,3,opt,name=slow"` // of them slower than the objective
+}
+
+// ErrReport says that a report is not well formed.
+var ErrReport = errors.New("burn report is not well formed")
+
+// Check reports whether the report is well formed. Its error is an ErrReport.
+func (r *Report) Check() error {
+	if r.Daemon == "" {
+		return fmt.Errorf("%w: no daemon", ErrReport)
+	}
+	if len(r.Minutes) > Kept {
+		return fmt.Errorf("%w: %d minutes, more than %d", ErrReport, len(r.Minutes), Kept)
+	}
+	last := int64(0)
+	for _, m := range r.Minutes {
+		if m.Minute <= last || m.Minute > r.Minute {
+			return fmt.Errorf("%w: minute %d after %d in a report of minute %d", ErrReport, m.Minute, last, r.Minute)
+		}
+		last = m.Minute
+		for _, c := range m.Cells {
+			if int(c.Series) >= len(r.Series) || uint64(c.Slow) > c.N {
+				return fmt.Errorf("%w: minute %d has series %d of %d, %d of %d slow",
+					ErrReport, m.Minute, c.Series, len(r.Series), c.Slow, c.N)
+			}
+		}
+	}
+	return nil
+}
+
+// Report returns what was counted after a Unix minute; 0 is all 3 days.
+func (c *Counter) Report(after int64) *Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.minute()
+	r := &Report{Daemon: c.Daemon, Minute: now}
+	if c.buckets == nil {
+		return r
+	}
+	names := make(map[uint32]uint32)
+	for m := max(now-Kept, after) + 1; m <= now; m++ {
+		b := &c.buckets[m%Kept]
+		if b.minute != m {
+			continue
+		}
+		out := Minute{Minute: m}
+		for _, x := range b.cells {
+			i, ok := names[x.series]
+			if !ok {
+				i = uint32(len(r.Series))
+				names[x.series] = i
+				r.Series = append(r.Series, c.series[x.series])
+			}
+			out.Cells = append(out.Cells, Cell{Series: i, N: x.n, Slow: x.slow})
+		}
+		r.Minutes = append(r.Minutes, out)
+	}
+	return r
+}
+
+// Restore adds a report to the counter, for instance of the same daemon before
+// it restarted. Minutes that are older than 3 days are left out.
+func (c *Counter) Restore(r *Report) error {
+	if err := r.Check(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.minute()
+	for _, m := range r.Minutes {
+		if m.Minute <= now-Kept || m.Minute > now {
+			continue
+		}
+		b := c.bucket(m.Minute)
+		for _, x := range m.Cells {
+			b.add(c, r.Series[x.Series], x.N, x.Slow)
+		}
+	}
+	return nil
+}
+
+// Encode returns the encoded report.
+func (r *Report) Encode() ([]byte, error) { return pollenlatch.Encode(r) }
+
+// Decode reads an encoded report and checks it.
+func Decode(b []byte) (*Report, error) {
+	r := &Report{}
+	if err := pollenlatch.Decode(b, r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
