Add serve, init, demo, load and report burn

Cause: the whole path needs its commands, and a newcomer one that shows it. Change: the daemon serves the administration API, counts hot keys and service-level events; pollenlatch demo runs six instances under load, lets one leave, restarts it and loses another.

--- a/admin/server.go
+++ b/admin/server.go
@@ -40,7 +40,9 @@
 // Config is what a server is made of.
 type Config struct {
 	Control Control
-	Tokens  []Token // none: everyone may do everything, on loopback only
+	Tokens  []Token      // none: everyone may do everything, on loopback only
+	Burn    Burn         // nil: no service-level report
+	Metrics *metrics.Set // shown besides those of the process; may be nil
 }
 
 // Server serves the administration API. Use New.
@@ -48,6 +50,8 @@
 	control Control
 	grants  []grant
 	http    *fasthttp.Server
+	burn    Burn
+	set     *metrics.Set
 	ctx     context.Context // ends at Shutdown
 	stop    context.CancelFunc
 	done    chan struct{}
@@ -63,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{control: cfg.Control, grants: list, done: make(chan struct{})}
+	s := &Server{control: cfg.Control, grants: list, burn: cfg.Burn, set: cfg.Metrics, done: make(chan struct{})}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.http = &fasthttp.Server{
 		Handler:                      s.Handle,
@@ -127,6 +131,7 @@
 	{"GET", "/v1/tickets/{}", conf.Read, (*Server).showTicket},
 	{"POST", "/v1/tickets", conf.Tickets, (*Server).applyTicket},
 	{"POST", "/v1/tickets/diff", conf.Read, (*Server).diffTicket},
+	{"GET", "/v1/burn", conf.Read, (*Server).burnReport},
 	{"POST", "/v1/drain", conf.Everything, (*Server).drain},
 }
 
@@ -258,6 +263,9 @@
 
 func (s *Server) metrics(c *call) {
 	c.SetContentType("text/plain; version=0.0.4; charset=utf-8")
+	if s.set != nil {
+		s.set.WritePrometheus(c)
+	}
 	metrics.WritePrometheus(c, true)
 }
 
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -36,6 +37,7 @@
 	addr    string
 	token   string // file
 	output  string
+	outputs []string // allowed; nil is table and json
 	timeout time.Duration
 	env     *env
 }
@@ -58,8 +60,11 @@
 	if c.addr == "" {
 		c.addr = defaultAdmin
 	}
-	if c.output != outputTable && c.output != outputJSON {
-		return exitf(exitUsage, "--output %s is neither %s nor %s", c.output, outputTable, outputJSON)
+	if c.outputs == nil {
+		c.outputs = []string{outputTable, outputJSON}
+	}
+	if !slices.Contains(c.outputs, c.output) {
+		return exitf(exitUsage, "--output %s is not one of %s", c.output, strings.Join(c.outputs, ", "))
 	}
 	if c.timeout <= 0 || c.timeout > 30*time.Second {
 		return exitf(exitUsage, "--timeout %v is not above 0 and up to 30s", c.timeout)
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -63,6 +63,11 @@
 	statusCommand,
 	ownerCommand,
 	drainCommand,
+	burnCommand,
+	serveCommand,
+	initCommand,
+	demoCommand,
+	loadCommand,
 	versionCommand,
 }
 
--- a/cmd/flags.go
+++ b/cmd/flags.go
@@ -55,6 +55,11 @@
 	f.parser.UInt64(v, short, long, about)
 }
 
+func (f *flags) number(v *float64, short, long, about string) {
+	f.note(long, short, about)
+	f.parser.Float64(v, short, long, about)
+}
+
 // positional declares the next positional argument, which is required.
 func (f *flags) positional(v *string, name string) {
 	f.positionals = append(f.positionals, v)
--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,115 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"pollenlatch"
+	"pollenlatch/admin"
+	"pollenlatch/conf"
+	"pollenlatch/ctrl"
+	"pollenlatch/daemon"
+	"pollenlatch/store"
+)
+
+var serveCommand = command{
+	name:     "serve",
+	about:    "run the process beside an endpoint, or a voter",
+	examples: []string{"serve -c /etc/pollenlatch/settings.yaml"},
+	setup: func(f *flags) func(*env) error {
+		file := defaultSettings
+		f.text(&file, "c", "config", "settings file; "+defaultSettings+" if not given")
+		return func(*env) error { return serve(file) }
+	},
+}
+
+var initCommand = command{
+	name:     "init",
+	about:    "give a voter's data folder its identity, once",
+	examples: []string{"init -c /etc/pollenlatch/settings.yaml"},
+	setup: func(f *flags) func(*env) error {
+		file := defaultSettings
+		f.text(&file, "c", "config", "settings file of the voter; "+defaultSettings+" if not given")
+		return func(e *env) error {
+			id, err := initFolder(file)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(e.stdout, "voter %s has incarnation %d\n", id.Name, id.Incarnation)
+			return nil
+		}
+	},
+}
+
+// defaultSettings is the settings file that serve and init read.
+const defaultSettings = "/etc/pollenlatch/settings.yaml"
+
+// serve runs one process until SIGTERM or SIGINT, which end it gracefully. A
+// second signal ends it at once.
+func serve(file string) error {
+	s, err := conf.Load(file)
+	if err != nil {
+		return err
+	}
+	cfg, err := daemonConfig(s)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(cfg)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop) // restores the default action for the second signal
+	return d.Run(ctx)
+}
+
+func daemonConfig(s conf.Settings) (daemon.Config, error) {
+	key, err := s.Key()
+	if err != nil {
+		return daemon.Config{}, err
+	}
+	cfg := daemon.Config{
+		Name: s.Name, DC: s.DC, Group: s.Group, Key: key,
+		Region: s.Region, Data: s.Voter.Data,
+		Link: s.Addresses.Link, Front: s.Addresses.Front, Local: s.Addresses.Local, Admin: s.Addresses.Admin,
+		Sessions: int(s.Sessions),
+		Timing: ctrl.Timing{
+			Lease: s.Timings.Lease, Renew: s.Timings.Renew, Heartbeat: s.Timings.Heartbeat,
+			Election: s.Timings.Election, Grace: s.Timings.Grace, Drain: s.Timings.Drain,
+		},
+	}
+	for _, t := range s.Tokens {
+		secret, err := t.Secret()
+		if err != nil {
+			return cfg, err
+		}
+		cfg.Tokens = append(cfg.Tokens, admin.Token{Name: t.Name, Secret: secret, Scope: t.Scope, Services: t.Services})
+	}
+	for _, v := range s.Voters {
+		cfg.Voters = append(cfg.Voters, pollenlatch.Member{Name: v.Name, Addr: v.Addr})
+	}
+	if s.Voter.Data == "" {
+		return cfg, nil
+	}
+	cfg.Voter, err = daemon.OpenVoter(s.Voter.Data, s.Name, s.Addresses.Link, cfg.Voters)
+	if err != nil {
+		return cfg, fmt.Errorf("voter.data: %w", err)
+	}
+	return cfg, nil
+}
+
+// initFolder gives the voter of the settings a data folder with an identity.
+func initFolder(file string) (store.Identity, error) {
+	s, err := conf.Load(file)
+	if err != nil {
+		return store.Identity{}, err
+	}
+	if s.Voter.Data == "" {
+		return store.Identity{}, fmt.Errorf("%s: voter.data is not set: this instance does not vote", file)
+	}
+	return store.Init(store.Dir(s.Voter.Data), s.Name)
+}
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -11,6 +11,7 @@
 	"pollenlatch"
 	"pollenlatch/lease"
 	"pollenlatch/quorum"
+	"pollenlatch/state"
 )
 
 // Event is one of the types below.
@@ -136,6 +137,11 @@
 	Left struct{}
 	// Halt says that this process can no longer take part as a voter.
 	Halt struct{ Err error }
+	// Moved tells which shards changed, and why as far as this process knows.
+	Moved struct {
+		Keys    []lease.Key // with the present fences
+		Reasons []string    // of the planner; empty where it is not known
+	}
 	// Log is a line for the operator.
 	Log struct {
 		Message string
@@ -155,6 +161,7 @@
 func (Drained) effect()  {}
 func (Left) effect()     {}
 func (Halt) effect()     {}
+func (Moved) effect()    {}
 func (Log) effect()      {}
 
 // Access is what traffic may do, as of one moment.
@@ -172,6 +179,12 @@
 	Restarts uint64 // leases that this process has had
 }
 
+// State returns the whole state behind View.
+func (a *Access) State() *state.State {
+	s, _ := a.View.(*state.State)
+	return s
+}
+
 // Timing holds the times of the control protocol.
 type Timing struct {
 	Lease     time.Duration // length of a lease
--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -254,19 +254,13 @@
 		return
 	}
 	for i := skip; i < len(d.Commands); i++ {
-		s = applyCommand(s, d.From+pollenlatch.Version(i)+1, &d.Commands[i])
+		next, result := s.Apply(d.From+pollenlatch.Version(i)+1, &d.Commands[i])
+		h.note(next, result.Changed)
+		s = next
 	}
 	h.adopt(s)
 }
 
-func applyCommand(s *state.State, v pollenlatch.Version, c *pollenlatch.Command) *state.State {
-	if c.Noop != nil {
-		return s.Advance(v)
-	}
-	next, _ := s.Apply(v, c)
-	return next
-}
-
 func (h *holder) piece(p *pollenlatch.Piece) {
 	if p.Version <= h.state.Version() {
 		return
@@ -313,7 +307,7 @@
 		if !o.Frozen() {
 			return true
 		}
-		k := shardKey(o)
+		k := KeyOf(o)
 		if m, ok := h.moves[k]; ok {
 			moves[k] = m
 			return true
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -185,6 +185,7 @@
 	}
 	v.replan, v.planAt = false, v.now
 	moves := v.cfg.Planner.Plan(v.placement())
+	v.remember(moves)
 	assign, freeze := v.commandsOf(moves)
 	var commands []*pollenlatch.Command
 	if len(assign.Items) > 0 {
@@ -198,6 +199,16 @@
 	}
 }
 
+// remember keeps the reasons of moves for operators.
+func (v *voter) remember(moves []pollenlatch.Move) {
+	if v.reasons == nil || len(v.reasons)+len(moves) > originsKept {
+		v.reasons = make(map[pollenlatch.Shard]string)
+	}
+	for i := range min(len(moves), originsKept) {
+		v.reasons[moves[i].Shard] = moves[i].Reason
+	}
+}
+
 func (v *voter) placement() pollenlatch.Placement {
 	busy := make(map[pollenlatch.InstanceID]int)
 	for _, owner := range v.moving {
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -69,6 +69,7 @@
 	left    chan struct{}
 	halted  error
 	workers sync.WaitGroup
+	origins origins
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -126,6 +127,10 @@
 // Err returns why this process can no longer be a voter, once Done is closed.
 func (l *Loop) Err() error { return l.halted }
 
+// Origin returns how a shard got its fence, if this process has seen that
+// lately.
+func (l *Loop) Origin(k lease.Key) (Origin, bool) { return l.origins.get(k) }
+
 // Receive hands over a control message.
 func (l *Loop) Receive(from string, m *pollenlatch.Message) {
 	l.post(func(now pollenlatch.Mono) Event { return Received{Now: now, From: from, Message: m} })
@@ -250,6 +255,8 @@
 	case Halt:
 		l.halted = e.Err
 		klog.ErrorS(e.Err, "this process can no longer be a voter")
+	case Moved:
+		l.origins.add(e, time.Now())
 	case Log:
 		klog.InfoS(e.Message, e.Pairs...)
 	}
--- a/ctrl/reducer.go
+++ b/ctrl/reducer.go
@@ -181,6 +181,23 @@
 	r.dirty = true
 }
 
-func shardKey(o pollenlatch.Owner) lease.Key {
+// KeyOf names a shard under its present assignment.
+func KeyOf(o pollenlatch.Owner) lease.Key {
 	return lease.Key{Shard: o.Shard, Fence: o.Fence}
 }
+
+// note tells which shards a command changed.
+func (r *Reducer) note(s *state.State, changed []pollenlatch.Shard) {
+	if len(changed) == 0 || len(changed) > originsKept {
+		return
+	}
+	m := Moved{Keys: make([]lease.Key, len(changed)), Reasons: make([]string, len(changed))}
+	for i, sh := range changed {
+		o, _ := s.OwnerAt(sh)
+		m.Keys[i] = KeyOf(o)
+		if r.voter != nil {
+			m.Reasons[i] = r.reasons[sh]
+		}
+	}
+	r.do(m)
+}
--- a/ctrl/sim_test.go
+++ b/ctrl/sim_test.go
@@ -333,7 +333,7 @@
 		}
 		// A frozen shard takes no new requests: its owner acts only for those
 		// that are still in flight.
-		if o.Frozen() && o.Next != o.Instance && n.busy[shardKey(o)] <= s.now {
+		if o.Frozen() && o.Next != o.Instance && n.busy[KeyOf(o)] <= s.now {
 			continue
 		}
 		out = append(out, name)
--- a/ctrl/voter.go
+++ b/ctrl/voter.go
@@ -43,6 +43,7 @@
 	newest   pollenlatch.Version
 	moving   map[pollenlatch.Shard]pollenlatch.InstanceID // hand-overs in progress, by present owner
 	splits   map[lease.Key]string                         // ranges frozen for one of their keys
+	reasons  map[pollenlatch.Shard]string                 // of the planner's newest moves
 	planAt   pollenlatch.Mono
 	replan   bool
 	force    pollenlatch.Version // version held by every daemon with a lease, as of forceAt
@@ -275,6 +276,7 @@
 	next, result := s.Apply(at, c)
 	v.afterApply(c, result)
 	v.noteMoves(next, result.Changed)
+	v.note(next, result.Changed)
 	return next
 }
 
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/admin"
+	"pollenlatch/ctrl"
+	"pollenlatch/ticket"
+)
+
+// control is what the administration API sees of a daemon.
+type control struct{ *Daemon }
+
+var errDraining = errors.New("this instance is draining already")
+
+// View returns the newest state that this process holds.
+func (c control) View() admin.View { return c.desk.Access().State() }
+
+// Propose has the group decide on a ticket.
+func (c control) Propose(ctx context.Context, text, sender string) (pollenlatch.Verdict, error) {
+	number, _, err := ticket.Parse(text)
+	if err != nil {
+		return pollenlatch.Verdict{}, err
+	}
+	return c.Submit(ctx, pollenlatch.Ticket{Number: number, Text: text, Sender: sender, At: time.Now().UnixMilli()})
+}
+
+// InForce reports whether every instance that may serve holds the version.
+func (c control) InForce(v pollenlatch.Version) bool { return c.desk.Access().Force >= v }
+
+// Status returns the condition of this process.
+func (c control) Status() admin.Process {
+	a := c.desk.Access()
+	running, waiting := c.gate.Load()
+	return admin.Process{
+		Name: c.cfg.Name, DC: c.cfg.DC, Region: c.cfg.Region, Group: c.cfg.Group,
+		Program: program(), Started: c.begun, Version: a.View.Version(),
+		Serving: c.desk.Serving() == nil, Draining: a.Closed || c.leaving(),
+		Voter: a.Voter, Leads: a.Leads, Leader: a.Leader, Term: a.Term,
+		InFlight: running, Queued: waiting,
+	}
+}
+
+// program returns the version of the program as it was built.
+func program() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "(devel)"
+}
+
+// Origin returns what this process knows of how a shard got its fence.
+func (c control) Origin(o pollenlatch.Owner) (admin.Origin, bool) {
+	g, ok := c.loop.Origin(ctrl.KeyOf(o))
+	return admin.Origin{Since: g.Since, Reason: g.Reason}, ok
+}
+
+// Drain starts a graceful shutdown.
+func (c control) Drain() error {
+	first := false
+	c.drain.Do(func() {
+		first = true
+		close(c.stop)
+	})
+	if !first {
+		return fmt.Errorf("instance %s: %w", c.cfg.Name, errDraining)
+	}
+	return nil
+}
+
+func (d *Daemon) leaving() bool {
+	select {
+	case <-d.stop:
+		return true
+	default:
+		return false
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,10 +12,13 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"pollenlatch"
+	"pollenlatch/admin"
 	"pollenlatch/admit"
+	"pollenlatch/burn"
 	"pollenlatch/ctrl"
 	"pollenlatch/front"
 	"pollenlatch/link"
@@ -26,6 +29,7 @@
 	"pollenlatch/quorum"
 	"pollenlatch/relay"
 	"pollenlatch/serve"
+	"pollenlatch/sketch"
 )
 
 // Config is what a daemon is made of. Addresses are host:port.
@@ -37,6 +41,10 @@
 	Link   string // listens for other daemons
 	Front  string // listens for callers
 	Local  string // listens for the server beside it
+	Admin  string // listens for operators; empty: no administration API
+	Tokens []admin.Token
+	Region string
+	Data   string // folder for what is nice to keep; empty: nothing is kept
 	Voters []pollenlatch.Member
 	Voter  *Voter // nil in a process that is not a voter
 	Timing ctrl.Timing
@@ -45,6 +53,14 @@
 	Sessions int // most sessions to other daemons; 0 is the link's default
 }
 
+// exchanger is a function that is a pollenlatch.Exchanger.
+type exchanger func(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error)
+
+// Exchange calls f.
+func (f exchanger) Exchange(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
+	return f(ctx, r, check)
+}
+
 // DefaultDrain is the longest time that a daemon waits for requests in flight
 // when it is told to stop.
 const DefaultDrain = 30 * time.Second
@@ -68,17 +84,25 @@
 	once  *once.Store
 	serve *serve.Server
 	front *front.Server
+	admin *admin.Server
+	burn  burn.Counter
+	hot   sketch.Sketch
+	begun time.Time
 	done  chan struct{}
 	errs  chan error
+	stop  chan struct{} // closed by the operator's drain
 
 	mu        sync.Mutex
 	peers     map[string]link.Peer // by name, on the newest session
 	endpoint  pollenlatch.Endpoint
 	announced bool
-	transfers transfers
+	transfers calls[bool]
+	fetches   calls[[]byte]
 
 	abort   sync.Once
 	aborted chan struct{}
+	drain   sync.Once
+	metrics *metrics.Set
 }
 
 // New opens the daemon's listeners and connects its parts.
@@ -100,6 +124,9 @@
 		errs:  make(chan error, 8),
 
 		aborted: make(chan struct{}),
+		stop:    make(chan struct{}),
+		begun:   time.Now(),
+		metrics: metrics.NewSet(),
 	}
 	if err := d.connect(); err != nil {
 		return nil, err
@@ -113,7 +140,7 @@
 	d.gate = admit.New(admit.Config{Queue: d.queue, Limit: d.limit})
 	d.once = once.New(once.Config{})
 	d.serve = serve.New(serve.Config{
-		Control: &d.desk, Gate: d.gate, Exchanger: d.relay, Records: d.once,
+		Control: &d.desk, Gate: d.gate, Exchanger: exchanger(d.observed), Records: d.once,
 		Endpoint: d.server, Suspect: d.local.Probe, Front: d.cfg.Front,
 	})
 	node, err := link.New(link.Config{
@@ -137,10 +164,26 @@
 	router := front.NewRouter(front.RouterConfig{
 		Control: &d.desk, Local: d.serve, Forward: node, Picker: pick.First{}, DC: d.cfg.DC,
 	})
-	d.front, err = front.NewServer(front.Config{Control: &d.desk, Handler: router, Front: d.cfg.Front})
+	d.front, err = front.NewServer(front.Config{
+		Control: &d.desk, Handler: router, Recorder: &d.burn, Metrics: d.metrics, Front: d.cfg.Front,
+	})
+	if err != nil || d.cfg.Admin == "" {
+		return err
+	}
+	d.admin, err = admin.New(admin.Config{Control: control{d}, Tokens: d.cfg.Tokens, Burn: d.summary, Metrics: d.metrics})
 	return err
 }
 
+// observed counts every request that is passed to the server.
+func (d *Daemon) observed(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
+	key := r.Key
+	if key == "" {
+		key = r.Idempotency
+	}
+	d.hot.Add(r.Shard, key)
+	return d.relay.Exchange(ctx, r, check)
+}
+
 func (d *Daemon) reducerConfig() ctrl.Config {
 	cfg := ctrl.Config{
 		Self: pollenlatch.Join{
@@ -183,12 +226,16 @@
 		return err
 	}
 	d.loop.Start(life)
+	d.watch()
 	go d.measure(life)
+	go d.keep(life)
 	klog.InfoS("daemon started", "instance", d.cfg.Name, "dc", d.cfg.DC, "link", d.cfg.Link, "front", d.cfg.Front)
 	var err error
 	select {
 	case <-ctx.Done():
 		d.leave()
+	case <-d.stop:
+		d.leave()
 	case err = <-d.errs:
 	case <-d.aborted:
 	case <-d.loop.Done():
@@ -199,14 +246,19 @@
 }
 
 func (d *Daemon) listen(ctx context.Context) error {
-	for _, l := range []struct {
+	type listener struct {
 		what, addr string
 		serve      func(net.Listener) error
-	}{
+	}
+	all := []listener{
 		{"link", d.cfg.Link, d.node.Serve},
 		{"local", d.cfg.Local, d.local.Serve},
 		{"front", d.cfg.Front, d.front.Serve},
-	} {
+	}
+	if d.admin != nil {
+		all = append(all, listener{"admin", d.cfg.Admin, d.admin.Serve})
+	}
+	for _, l := range all {
 		var lc net.ListenConfig
 		ln, err := lc.Listen(ctx, "tcp", l.addr)
 		if err != nil {
@@ -249,6 +301,11 @@
 func (d *Daemon) close(stop context.CancelFunc) {
 	_ = d.front.Close()
 	_ = d.node.Close()
+	if d.admin != nil {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = d.admin.Shutdown(ended)
+	}
 	stop()
 	<-d.loop.Done()
 	d.relay.Close()
@@ -279,7 +336,13 @@
 		from.Send(&pollenlatch.Message{Received: d.importRecords(from.Name, m.Records)})
 		return
 	case m.Received != nil:
-		d.transfers.answer(m.Received)
+		d.transfers.answer(m.Received.Seq, m.Received.OK)
+		return
+	case m.Fetch != nil:
+		d.report(from, m.Fetch)
+		return
+	case m.Fetched != nil:
+		d.fetches.answer(m.Fetched.Seq, m.Fetched.Data)
 		return
 	}
 	d.mu.Lock()
@@ -345,7 +408,9 @@
 		select {
 		case <-t.C:
 			running, waiting := d.gate.Load()
-			d.loop.Measure(pollenlatch.Load{InFlight: uint32(running), Queued: uint32(waiting)})
+			load := d.hot.Load(pollenlatch.System{}.Now())
+			load.InFlight, load.Queued = uint32(running), uint32(waiting)
+			d.loop.Measure(load)
 		case <-ctx.Done():
 			return
 		}
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -15,38 +15,40 @@
 // same records twice changes nothing.
 const transferRetry = 200 * time.Millisecond
 
-// transfers waits for the next owners' acknowledgements. The zero value waits
-// for none.
-type transfers struct {
+// calls matches answers of other daemons to requests. The zero value has none.
+type calls[T any] struct {
 	mu      sync.Mutex
 	seq     uint64
-	waiting map[uint64]chan bool
+	waiting map[uint64]chan T
 }
 
-func (t *transfers) begin() (seq uint64, answer chan bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.waiting == nil {
-		t.waiting = make(map[uint64]chan bool)
+// begin returns the number of a new request and where its answer arrives.
+func (c *calls[T]) begin() (seq uint64, answer chan T) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting == nil {
+		c.waiting = make(map[uint64]chan T)
 	}
-	t.seq++
-	answer = make(chan bool, 1)
-	t.waiting[t.seq] = answer
-	return t.seq, answer
+	c.seq++
+	answer = make(chan T, 1)
+	c.waiting[c.seq] = answer
+	return c.seq, answer
 }
 
-func (t *transfers) end(seq uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.waiting, seq)
+// end forgets a request, answered or not.
+func (c *calls[T]) end(seq uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, seq)
 }
 
-func (t *transfers) answer(r *pollenlatch.Received) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if c, ok := t.waiting[r.Seq]; ok {
-		c <- r.OK
-		delete(t.waiting, r.Seq)
+// answer passes an answer on. Late and repeated ones are dropped.
+func (c *calls[T]) answer(seq uint64, v T) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.waiting[seq]; ok {
+		w <- v
+		delete(c.waiting, seq)
 	}
 }
 
--- a/message.go
+++ b/message.go
@@ -14,6 +14,8 @@
 	Records  *Records  `protobuf:"bytes,8,opt,name=records"`
 	Received *Received `protobuf:"bytes,9,opt,name=received"`
 	More     *More     `protobuf:"bytes,10,opt,name=more"`
+	Fetch    *Fetch    `protobuf:"bytes,11,opt,name=fetch"`
+	Fetched  *Fetched  `protobuf:"bytes,12,opt,name=fetched"`
 }
 
 // Renew asks the leader to extend a lease, or to create one when Lease is 0.
@@ -126,3 +128,15 @@
 	Seq uint64 `protobuf:"varint,1,opt,name=seq"`
 	OK  bool   `protobuf:"varint,2,opt,name=ok"`
 }
+
+// Fetch asks a daemon for its events of the service-level report.
+type Fetch struct {
+	Seq   uint64 `protobuf:"varint,1,opt,name=seq"`
+	After int64  `protobuf:"varint,2,opt,name=after"` // Unix minutes; only later ones are wanted
+}
+
+// Fetched answers Fetch.
+type Fetched struct {
+	Seq  uint64 `protobuf:"varint,1,opt,name=seq"`
+	Data []byte `protobuf:"bytes,2,opt,name=data"` // encoded by package burn
+}
