state: fuzz Apply, batch items in the property test, bound names

Cause: names and addresses of a Join or Announce had no bound, batches of several items were tried in tables only, and no test fed arbitrary commands to Apply.

--- a/state/instance.go
+++ b/state/instance.go
@@ -15,6 +15,9 @@
 	case j.Name == "":
 		d.res.Rejected = "instance has no name"
 		return
+	case tooLong(j.Name, j.DC, j.Addr, j.Front):
+		d.res.Rejected = fmt.Sprintf("a name or address has more than %d bytes", MaxName)
+		return
 	case ok && old.Alive() && old.Incarnation != j.Incarnation:
 		d.res.Rejected = fmt.Sprintf("instance %q has lease %d with another incarnation", j.Name, old.Lease)
 		return
@@ -122,10 +125,19 @@
 		return
 	}
 	c, e := *i, a.Endpoint
+	if tooLong(e.Service, e.Addr) {
+		d.res.Rejected = fmt.Sprintf("a name or address has more than %d bytes", MaxName)
+		return
+	}
 	c.Endpoint = &e
 	d.replace(c)
 }
 
+// tooLong reports whether a name or address would take too much of the state.
+func tooLong(list ...string) bool {
+	return slices.ContainsFunc(list, func(s string) bool { return len(s) > MaxName })
+}
+
 func leaseFits(i *instance, id pollenlatch.InstanceID, l pollenlatch.Lease) string {
 	switch {
 	case i == nil:
--- a/state/load_test.go
+++ b/state/load_test.go
@@ -132,3 +132,33 @@
 	var se *SnapshotError
 	require.ErrorAs(t, err, &se)
 }
+
+// A command that was decoded from the network must be applied or rejected; it
+// must not crash the voters one after the other.
+func FuzzApply(f *testing.F) {
+	for _, c := range []pollenlatch.Command{
+		{Ticket: &pollenlatch.Ticket{Number: 4, Text: "x", Spec: pollenlatch.Spec{Services: []pollenlatch.Service{service1("listing", 4)}, Remove: []string{"x"}}}},
+		{Join: &pollenlatch.Join{Name: "a", Incarnation: 3}},
+		{Expire: &pollenlatch.Expire{Instance: 2, Lease: 3}},
+		{Announce: &pollenlatch.Announce{Instance: 2, Lease: 3, Endpoint: pollenlatch.Endpoint{Service: "claims"}}},
+		{Assign: &pollenlatch.Assign{Items: []pollenlatch.AssignItem{{Shard: keyed("k", 4), To: 2}, {Shard: rng(1), To: 3, Expect: 5}}}},
+		{Freeze: &pollenlatch.Freeze{Items: []pollenlatch.FreezeItem{{Shard: rng(2), To: 3, Expect: 6}}}},
+	} {
+		b, err := pollenlatch.Encode(&c)
+		require.NoError(f, err)
+		f.Add(b)
+	}
+	start := busy(f).s
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var c pollenlatch.Command
+		if pollenlatch.Decode(b, &c) != nil {
+			return
+		}
+		s, _ := start.Apply(start.Version()+1, &c)
+		again, _ := start.Apply(start.Version()+1, &c)
+		want := snapshot(t, s)
+		require.Equal(t, want, snapshot(t, again))
+		_, err := Load(want)
+		require.NoError(t, err)
+	})
+}
--- a/state/property_test.go
+++ b/state/property_test.go
@@ -42,6 +42,7 @@
 	w        *world
 	log      []pollenlatch.Command
 	releases []release                          // may be used at any later time
+	batch    []pollenlatch.AssignItem           // proposed but not applied yet
 	stopped  pollenlatch.Set[pollenlatch.Shard] // frozen and released by the present owner
 	fences   map[string]pollenlatch.Fence       // highest fence under which a key was owned
 	verdicts map[string]pollenlatch.Verdict     // by number and text
@@ -187,7 +188,7 @@
 // assign proposes a shard that the leader may believe to have no owner.
 func (m *oracle) assign(t *rapid.T) {
 	p := m.shard(t)
-	m.propose(pollenlatch.AssignItem{Shard: p, To: instanceID(t), Expect: m.fenceOf(t, p)})
+	m.propose(t, pollenlatch.AssignItem{Shard: p, To: instanceID(t), Expect: m.fenceOf(t, p)})
 }
 
 // complete proposes what a leader may after any release that it ever got.
@@ -205,11 +206,16 @@
 	if it.Key != "" && rapid.Bool().Draw(t, "remove") {
 		it.To = 0
 	}
-	m.propose(it)
+	m.propose(t, it)
 }
 
-func (m *oracle) propose(it pollenlatch.AssignItem) {
-	m.apply(pollenlatch.Command{Assign: &pollenlatch.Assign{Items: []pollenlatch.AssignItem{it}}})
+// propose applies an item at once or together with later ones.
+func (m *oracle) propose(t *rapid.T, it pollenlatch.AssignItem) {
+	m.batch = append(m.batch, it)
+	if rapid.IntRange(0, 3).Draw(t, "more") > 0 {
+		m.apply(pollenlatch.Command{Assign: &pollenlatch.Assign{Items: m.batch}})
+		m.batch = nil
+	}
 }
 
 func (m *oracle) ticket(t *rapid.T) {
--- a/state/ticket.go
+++ b/state/ticket.go
@@ -15,7 +15,7 @@
 // Bounds of what a ticket may name.
 const (
 	MaxVoters = 5
-	MaxName   = 256 // bytes of a name, also of the sender's
+	MaxName   = 256 // bytes of a name or address
 	maxFaults = 64  // reported of one ticket
 )
 
