serve: observe the server by its exchanges

Cause: the planner and the picker need what the daemon sees of its server, and a server that lets requests time out was not probed. Change: Server.Observe gives rate, median and suspicion since the last call; metrics count answers and failures; a timeout after the write asks for a probe. relay: the head of an answer may have 16 KB (4 KB before, a longer one was an unknown outcome); a request body that breaks off is the caller's fault. Conclusion: go test -race -count=3 ./relay ./serve passes.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -279,8 +279,8 @@
 		return failure(outcome, pollenlatch.Expired, http.StatusGatewayTimeout, "deadline has passed")
 	case x.source != nil && !x.wrote:
 		return failure(outcome, pollenlatch.BadRequest, http.StatusBadRequest, x.source.Error())
-	case x.source != nil:
-		return failure(outcome, pollenlatch.Broken, http.StatusBadGateway, x.source.Error())
+	case x.source != nil: // no fault of the server
+		return failure(outcome, pollenlatch.Cancelled, StatusClosed, "body of the request broke off: "+x.source.Error())
 	case x.wrote:
 		return failure(outcome, pollenlatch.Broken, http.StatusBadGateway, err.Error())
 	default:
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	bufferBytes = 4 << 10
+	bufferBytes = 4 << 10  // of a request before the first write
+	headBytes   = 16 << 10 // bound of the head of an answer; a longer one is an unknown outcome
 	// maxIdle is below the time after which usual servers close idle
 	// connections, so that few are found closed.
 	maxIdle     = 30 * time.Second
@@ -86,7 +87,7 @@
 }
 
 func newConn(nc net.Conn, target uint64) *conn {
-	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes), w: bufio.NewWriterSize(nil, bufferBytes), target: target}
+	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, headBytes), w: bufio.NewWriterSize(nil, bufferBytes), target: target}
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"pollenlatch"
 	"pollenlatch/once"
 )
@@ -35,12 +37,14 @@
 	Suspect func()
 	Front   string        // callers' address of this daemon, for answers
 	CatchUp time.Duration // 0 is DefaultCatchUp
+	Metrics *metrics.Set  // nil keeps the figures to itself
 }
 
 // Server is a pollenlatch.Handler for requests of the server beside this
 // daemon. Use New.
 type Server struct {
-	cfg Config
+	cfg   Config
+	meter *meter
 }
 
 // New returns the pipeline.
@@ -51,20 +55,35 @@
 	if cfg.Suspect == nil {
 		cfg.Suspect = func() {}
 	}
-	return &Server{cfg: cfg}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	return &Server{cfg: cfg, meter: newMeter(cfg)}
 }
 
 // Handle runs one request. The request stays counted as in flight until the
 // body of the response has been read to its end or closed. The error is a
 // *pollenlatch.Failure.
 func (s *Server) Handle(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+	resp, err := s.handle(ctx, r)
+	if err != nil {
+		f := asFailure(err)
+		s.meter.failed(f)
+		return nil, f
+	}
+	s.meter.answered.Inc()
+	resp.Owner = s.cfg.Front
+	return resp, nil
+}
+
+func (s *Server) handle(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
 	service, owner, err := s.owns(ctx, r)
 	if err != nil {
-		return nil, asFailure(err)
+		return nil, err
 	}
 	run, resp, err := s.begin(ctx, r, service, owner)
 	if err != nil {
-		return nil, asFailure(err)
+		return nil, err
 	}
 	if run == nil && resp != nil {
 		return resp, nil
@@ -73,7 +92,6 @@
 	if f != nil {
 		return nil, f
 	}
-	resp.Owner = s.cfg.Front
 	return resp, nil
 }
 
@@ -140,12 +158,14 @@
 		run.Start()
 		q.Body = run.Body()
 	}
+	start := time.Now()
 	resp, err := s.cfg.Exchanger.Exchange(ctx, &q, pass.Check)
 	if err != nil {
 		f := fail(err)
-		s.suspect(f)
+		s.judge(f, time.Since(start))
 		return nil, f
 	}
+	s.judge(nil, time.Since(start))
 	if run != nil {
 		resp = run.Response(resp)
 	}
@@ -153,13 +173,6 @@
 	return counted(resp, pass, release), nil
 }
 
-// suspect asks for a probe after failures that a lost server causes.
-func (s *Server) suspect(f *pollenlatch.Failure) {
-	if f.Reason == pollenlatch.Unreachable || f.Reason == pollenlatch.Broken {
-		s.cfg.Suspect()
-	}
-}
-
 func refuse(why pollenlatch.Reason, status int, detail string) *pollenlatch.Failure {
 	f := &pollenlatch.Failure{Outcome: pollenlatch.NotRun, Reason: why, Status: status, Detail: detail}
 	if status == http.StatusServiceUnavailable {
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -341,6 +341,37 @@
 	require.Equal(t, pollenlatch.BadRequest, f.Reason, "a record on no shard cannot be found again")
 }
 
+// A lost server that keeps its load, or a good one that is suspected for its
+// callers' faults, is given the wrong share of work.
+func TestObserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		send := func(n int, err error) {
+			b.exchange.err = err
+			for range n {
+				r := request()
+				r.Safe = true
+				_, _ = b.call(r)
+			}
+		}
+		fail := func(o pollenlatch.Outcome, why pollenlatch.Reason) error {
+			return &pollenlatch.Failure{Outcome: o, Reason: why}
+		}
+		send(4, fail(pollenlatch.Unknown, pollenlatch.Broken))
+		<-time.After(2 * time.Second)
+		require.Equal(t, Observation{Rate: 2}, b.server.Observe(), "too few to tell")
+		send(6, nil)
+		send(6, fail(pollenlatch.Unknown, pollenlatch.Expired))
+		require.True(t, b.server.Observe().Suspect)
+		require.Equal(t, 10, b.suspects)
+		send(6, nil)
+		send(20, fail(pollenlatch.NotRun, pollenlatch.Refused))
+		send(20, fail(pollenlatch.Unknown, pollenlatch.Cancelled))
+		require.False(t, b.server.Observe().Suspect)
+		require.Equal(t, 10, b.suspects)
+	})
+}
+
 // BenchmarkHandle is the cost of the pipeline without the exchange.
 func BenchmarkHandle(b *testing.B) {
 	for _, name := range []string{"safe", "recorded"} {
