--- a/load/load_test.go
+++ b/load/load_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
 	"pollenlatch"
@@ -253,3 +255,28 @@
 	})
 	require.True(t, Result{Outcome: pollenlatch.Ran, Status: 404}.Good())
 }
+
+// BenchmarkGenerator shows which rate one process sustains, its server
+// included: the longest lag of a start and the median grow beyond it.
+func BenchmarkGenerator(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	s := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(http.StatusOK) }}
+	go func() { _ = s.Serve(ln) }()
+	defer func() { _ = s.Shutdown() }()
+	for _, rate := range []float64{5000, 10_000, 20_000, 40_000} {
+		b.Run(strconv.FormatFloat(rate, 'f', 0, 64), func(b *testing.B) {
+			cfg := config()
+			cfg.Targets, cfg.Rate = []string{ln.Addr().String()}, rate
+			for b.Loop() {
+				r, err := Run(b.Context(), cfg)
+				require.NoError(b, err)
+				b.ReportMetric(float64(r.Total.Good)/cfg.Duration.Seconds(), "good/s")
+				b.ReportMetric(float64(r.Lag)/1e6, "lag-ms")
+				b.ReportMetric(float64(r.Total.Quantile.P50)/1e6, "p50-ms")
+				b.ReportMetric(float64(r.Total.Quantile.P99)/1e6, "p99-ms")
+				b.ReportMetric(float64(r.Dropped), "dropped")
+			}
+		})
+	}
+}
