--- a/serve/meter.go
+++ b/serve/meter.go
@@ -64,7 +64,7 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("pollenlatch_serve_failures_total{outcome=%q,reason=%q}", f.Outcome, f.Reason)).Inc()
 }
 
-// exchanged counts an exchange that the server answered, or failed.
+// exchanged counts an exchange that the server answered after d, or failed.
 func (m *meter) exchanged(ok bool, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -77,14 +77,10 @@
 	m.times.Update(float64(d))
 }
 
-// judge takes the result of an exchange. f is nil when the server answered.
-// A server that failed it is probed.
-func (s *Server) judge(f *pollenlatch.Failure, d time.Duration) {
-	switch {
-	case f == nil:
-		s.meter.exchanged(true, d)
-	case fault(f):
-		s.meter.exchanged(false, d)
+// suspect counts an exchange that the server failed, and asks for a probe.
+func (s *Server) suspect(f *pollenlatch.Failure) {
+	if fault(f) {
+		s.meter.exchanged(false, 0)
 		s.cfg.Suspect()
 	}
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -162,10 +162,10 @@
 	resp, err := s.cfg.Exchanger.Exchange(ctx, &q, pass.Check)
 	if err != nil {
 		f := fail(err)
-		s.judge(f, time.Since(start))
+		s.suspect(f)
 		return nil, f
 	}
-	s.judge(nil, time.Since(start))
+	s.meter.exchanged(true, time.Since(start))
 	if run != nil {
 		resp = run.Response(resp)
 	}
