Keep heartbeats and commit index right around slow and cut-short writes

Cause: (1) an answer to a heartbeat waited for entries to be synced, so a slow disk cost the leader its majority. The invariant that a majority has synced a committed entry now uses the group of the committing leader: the group at the entry's own index is wrong when a change of the group is committed together with it.

--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -18,7 +18,9 @@
 	pendingSeen []string
 	seen        []string // synced part of Hard.Seen
 
-	hard     bool // Hard changed
+	hard     bool   // Hard changed
+	hardSeq  uint64 // last Persist with a change of Hard
+	commit   uint64 // in the last Persist
 	truncate uint64
 	snapshot *Snapshot
 	held     []heldMessage
@@ -30,9 +32,9 @@
 	send Send
 }
 
-func (d *diskState) start(last uint64, seen []string) {
+func (d *diskState) start(last, commit uint64, seen []string) {
 	d.given, d.synced = last, last
-	d.seen = seen
+	d.commit, d.seen = commit, seen
 }
 
 // drop notes that the entries from index on are not in the log any more.
@@ -71,8 +73,20 @@
 }
 
 // sendSynced sends a message once everything up to now is synced.
-func (r *Replica) sendSynced(s Send) {
-	seq := r.syncSeq()
+func (r *Replica) sendSynced(s Send) { r.hold(r.syncSeq(), s) }
+
+// sendHard sends a message once Hard is synced. It is for answers that say
+// nothing of entries, so that a disk that is busy with entries does not make a
+// leader lose its majority.
+func (r *Replica) sendHard(s Send) {
+	seq := r.disk.hardSeq
+	if r.disk.hard {
+		seq = r.disk.seq + 1
+	}
+	r.hold(seq, s)
+}
+
+func (r *Replica) hold(seq uint64, s Send) {
 	if seq <= r.disk.done || r.rules.earlyAck {
 		r.emit(s)
 		return
@@ -87,7 +101,15 @@
 		return
 	}
 	d.seq++
-	r.hard.Commit = r.commit
+	if d.hard {
+		d.hardSeq = d.seq
+	}
+	// A snapshot is not written together with the rest. After a crash in
+	// between, the commit index must not cover entries that it replaces.
+	if d.snapshot == nil {
+		d.commit = r.commit
+	}
+	r.hard.Commit = d.commit
 	p := Persist{Seq: d.seq, Snapshot: d.snapshot, Truncate: d.truncate}
 	// Hard goes along with every Persist: the commit index is cheap there.
 	hard := r.hard
@@ -115,12 +137,12 @@
 	d.done = p.Seq
 	d.synced = max(d.synced, d.pending)
 	d.seen = d.pendingSeen
-	i := 0
-	for i < len(d.held) && d.held[i].seq <= d.done {
-		r.emit(d.held[i].send)
-		i++
-	}
-	d.held = slices.Delete(d.held, 0, i)
+	d.held = slices.DeleteFunc(d.held, func(h heldMessage) bool {
+		if h.seq <= d.done {
+			r.emit(h.send)
+		}
+		return h.seq <= d.done
+	})
 }
 
 func (r *Replica) halt(err error) {
--- a/quorum/follow.go
+++ b/quorum/follow.go
@@ -32,7 +32,7 @@
 	case KindHeartbeat:
 		r.learnCommit(min(m.Commit, r.log.last()))
 		if m.Sent != 0 {
-			r.sendSynced(r.envelope(to, Message{Kind: KindHeartbeatReply, Sent: m.Sent}))
+			r.sendHard(r.envelope(to, Message{Kind: KindHeartbeatReply, Sent: m.Sent}))
 		}
 	case KindAppend:
 		r.onAppend(to, m)
@@ -105,13 +105,13 @@
 	}
 	have := uint64(len(in.data))
 	if m.Offset != have {
-		r.sendSynced(r.envelope(to, Message{Kind: KindPieceReply, Index: m.Index, Offset: have, Reject: true}))
+		r.sendHard(r.envelope(to, Message{Kind: KindPieceReply, Index: m.Index, Offset: have, Reject: true}))
 		return
 	}
 	in.data = append(in.data, m.Data...)
 	have = uint64(len(in.data))
 	if have < m.Total {
-		r.sendSynced(r.envelope(to, Message{Kind: KindPieceReply, Index: m.Index, Offset: have}))
+		r.sendHard(r.envelope(to, Message{Kind: KindPieceReply, Index: m.Index, Offset: have}))
 		return
 	}
 	s := Snapshot{Index: m.Index, Term: m.LogTerm, Members: m.Members, Data: in.data}
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -148,7 +148,7 @@
 	r.applied = s.Snapshot.Index
 	r.commit = max(s.Snapshot.Index, min(s.Hard.Commit, r.log.last()))
 	r.hard.Commit = r.commit
-	r.disk.start(r.log.last(), r.hard.Seen)
+	r.disk.start(r.log.last(), r.commit, r.hard.Seen)
 	// Before the restart this voter may have answered a heartbeat, which the
 	// leader counts on for one election timeout. So it gives no vote sooner.
 	r.heard = r.now
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -59,20 +59,21 @@
 
 // sim drives replicas over a network and disks that fail.
 type sim struct {
-	rules   simRules
-	random  *rand.Rand
-	now     time.Duration
-	nodes   []*node
-	genesis []pollenlatch.Member
-	packets []packet
-	cut     map[[2]int]bool
-	lossy   bool
-	leaders map[uint64]memberID
-	sums    []uint64 // of the entries up to each index, as first applied anywhere
-	terms   []uint64
-	nextID  uint64
-	nextInc pollenlatch.Incarnation
-	wiped   int // node whose folder was lost and that is not a voter again; -1 is none
+	rules     simRules
+	random    *rand.Rand
+	now       time.Duration
+	nodes     []*node
+	genesis   []pollenlatch.Member
+	packets   []packet
+	cut       map[[2]int]bool
+	lossy     bool
+	leaders   map[uint64]memberID
+	sums      []uint64 // of the entries up to each index, as first applied anywhere
+	terms     []uint64
+	committed uint64 // highest index that a leader has committed
+	nextID    uint64
+	nextInc   pollenlatch.Incarnation
+	wiped     int // node whose folder was lost and that is not a voter again; -1 is none
 }
 
 func newSim(size int, seed uint64, broken simRules) *sim {
@@ -113,6 +114,11 @@
 	for flushed && len(n.queue) > 0 && !s.rules.noSyncWait {
 		n.sync()
 	}
+	if len(n.queue) > 0 && n.queue[0].Snapshot != nil && s.random.IntN(2) == 0 {
+		// The store writes such a batch in several parts.
+		n.queue[0].Snapshot, n.queue[0].Entries = nil, nil
+		n.sync()
+	}
 	n.queue, n.up, n.slow = nil, false, 0
 }
 
@@ -171,7 +177,6 @@
 		n.applied, n.sum = e.Index, xxhash.Sum64(binary.LittleEndian.AppendUint64(d, e.Term))
 		if e.Index == uint64(len(s.sums)) {
 			s.sums, s.terms = append(s.sums, n.sum), append(s.terms, e.Term)
-			s.checkSynced(n, e)
 		}
 		if s.sums[e.Index] != n.sum {
 			fail("committed entry %d changed at %s", e.Index, n.self.Name)
@@ -179,15 +184,21 @@
 	}
 }
 
-// checkSynced requires a newly committed entry on the disks of a majority. One
-// voter may have lost its disk since it acknowledged.
-func (s *sim) checkSynced(n *node, e Entry) {
-	members := n.r.log.groupAt(e.Index).members
+// checkSynced requires what a leader has newly committed on the disks of a
+// majority of its group. One voter may have lost its disk since it
+// acknowledged.
+func (s *sim) checkSynced(n *node) {
+	index, term := n.r.commit, n.r.log.termAt(n.r.commit)
+	if index <= s.committed {
+		return
+	}
+	s.committed = index
+	members := n.r.log.group().members
 	have := 0
 	for _, o := range s.nodes {
 		named := slices.ContainsFunc(members, func(m pollenlatch.Member) bool { return m.Name == o.self.Name })
-		if named && (o.snap.Index >= e.Index || slices.ContainsFunc(o.log, func(x Entry) bool {
-			return x.Index == e.Index && x.Term == e.Term
+		if named && (o.snap.Index >= index || slices.ContainsFunc(o.log, func(x Entry) bool {
+			return x.Index == index && x.Term == term
 		})) {
 			have++
 		}
@@ -196,7 +207,7 @@
 		have++
 	}
 	if have <= len(members)/2 {
-		fail("entry %d is committed at %s but synced by %d of %d voters", e.Index, n.self.Name, have, len(members))
+		fail("entry %d is committed at %s but synced by %d of %d voters", index, n.self.Name, have, len(members))
 	}
 }
 
@@ -274,8 +285,8 @@
 	}
 }
 
-// check holds the invariants on leadership: one leader in each term, and none
-// of an earlier term that still may act.
+// check holds the invariants on leaders: one in each term, none of an earlier
+// term that still may act, and no commit before a majority has synced.
 func (s *sim) check() {
 	for _, n := range s.nodes {
 		if !n.up || n.r.role != leader {
@@ -287,6 +298,7 @@
 			fail("term %d has two leaders: %v and %v", term, other, id)
 		}
 		s.leaders[term] = id
+		s.checkSynced(n)
 		for _, o := range s.nodes {
 			if o.up && o != n && o.r.hard.Term < term && o.r.Leading(o.clock(s.now)) {
 				fail("%s leads in term %d although %s was elected in term %d", o.self.Name, o.r.hard.Term, n.self.Name, term)
--- a/store/store.go
+++ b/store/store.go
@@ -32,6 +32,7 @@
 	file     File  // of the last segment; nil before the first one
 	size     int64 // of the last segment, bytes
 	seq      uint64
+	limit    int64 // of the size of a segment, bytes
 	err      error
 }
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("lock data folder: %w", err)
 	}
-	s := &Store{folder: folder, lock: lock, seq: 1}
+	s := &Store{folder: folder, lock: lock, seq: 1, limit: segmentBytes}
 	if err := s.load(); err != nil {
 		_ = s.Close()
 		return nil, err
@@ -123,7 +124,7 @@
 		return err
 	}
 	created := false
-	if s.file == nil || s.size >= segmentBytes {
+	if s.file == nil || s.size >= s.limit {
 		if err := s.addSegment(); err != nil {
 			return fmt.Errorf("add a log segment: %w", err)
 		}
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -24,6 +24,9 @@
 	os.Exit(m.Run())
 }
 
+// testSegment is a small limit, so that sequences span several segments.
+const testSegment = 2000 // bytes
+
 var group = []pollenlatch.Member{{Name: "a", Incarnation: 1}}
 
 // model is what a folder should hold.
@@ -87,7 +90,7 @@
 	}
 	for range rapid.IntRange(0, 12).Draw(t, "entries") {
 		last++
-		size := rapid.SampledFrom([]int{0, 10, 1 << 20}).Draw(t, "data")
+		size := rapid.SampledFrom([]int{0, 10, testSegment}).Draw(t, "data")
 		e := quorum.Entry{Index: last, Term: hard.Term}
 		if size > 0 {
 			e.Data = make([]byte, size)
@@ -107,6 +110,7 @@
 		now := model{}
 		s, err := Open(folder)
 		require.NoError(t, err)
+		s.limit = testSegment
 		for range rapid.IntRange(1, 20).Draw(t, "batches") {
 			p := now.next(t)
 			if rapid.IntRange(0, 3).Draw(t, "fault") == 0 {
@@ -137,6 +141,7 @@
 				require.NoError(t, err)
 				now = read(s)
 				require.Contains(t, allowed, now)
+				s.limit = testSegment
 			}
 			folder.fail = 0
 		}
