--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -99,6 +100,9 @@
 	w     io.Writer
 	fleet *fleet.Fleet
 	start time.Time
+
+	mu     sync.Mutex
+	claims []load.Result
 }
 
 func (d *demonstration) run(ctx context.Context) error {
@@ -176,6 +180,7 @@
 
 func (d *demonstration) load() load.Config {
 	cfg := load.Config{
+		Done:    d.done,
 		Service: "listing", Rate: demoRate, Duration: demoLoad, Keys: demoKeys, Zipf: 1, Seed: 1,
 		Timeout: 3 * time.Second, Attempts: 4,
 		Kinds: []load.Kind{
@@ -189,6 +194,45 @@
 	return cfg
 }
 
+func (d *demonstration) done(r load.Result) {
+	if r.Kind != "claim" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.claims = append(d.claims, r)
+}
+
+// untruths counts the claims that ran more than once, and those that ran
+// though their caller was told that they did not.
+func (d *demonstration) untruths() (doubled, denied int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.claims {
+		n := d.fleet.Ledger().Count(r.ID)
+		if n > 1 {
+			doubled++
+			d.explain(r)
+		}
+		if n > 0 && r.Outcome == pollenlatch.NotRun && !r.Unsure {
+			denied++
+			d.explain(r)
+		}
+	}
+	return doubled, denied
+}
+
+// explain shows the runs of one claim.
+func (d *demonstration) explain(r load.Result) {
+	d.printf("%+v\n", r)
+	for _, run := range d.fleet.Ledger().Runs() {
+		if run.ID == r.ID {
+			d.printf("  server %x, range %d, fence %d, %.3f to %.3f s, whole %v\n", uint64(run.Server), run.Shard.Range, run.Fence,
+				run.Start.Sub(d.start).Seconds(), run.End.Sub(d.start).Seconds(), run.Whole)
+		}
+	}
+}
+
 // shardsByOwner counts the listing service's ranges by owner; "" is none.
 func shardsByOwner(a *ctrl.Access) map[string]int {
 	counts := make(map[string]int)
@@ -224,7 +268,8 @@
 		o := r.Outages[0]
 		d.printf("longest time without a good answer for a key: %v (%s)\n", o.Duration.Round(time.Millisecond), o.Key)
 	}
-	d.printf("requests that must not run twice and did: %d\n", len(d.fleet.Ledger().Doubled()))
+	doubled, denied := d.untruths()
+	d.printf("claims: %d, of which %d ran twice and %d ran though the caller was told not\n", len(d.claims), doubled, denied)
 }
 
 func (d *demonstration) printf(format string, args ...any) {
