admit, relay: forget passes of an empty class, save allocations

Cause: a class that had been passed over and then became empty was served before urgent work when it came back; each exchange formatted the server's address again. Conclusion: TestPassesEnd fails without the change; go test -race passes.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// A class that was passed over before it became empty must not go before
+// urgent work when it comes back.
+func TestPassesEnd(t *testing.T) {
+	q := queue{end: func(*item, verdict) {}}
+	now := time.Unix(0, 0)
+	push := func(class int) *item {
+		it := &item{class: class, deadline: now.Add(time.Hour)}
+		require.True(t, q.push(it, 1000, now))
+		return it
+	}
+	left := push(2)
+	for range MaxPassed {
+		push(0)
+		require.Equal(t, 0, q.pop(now).class)
+	}
+	require.True(t, q.remove(left)) // its caller went away
+	push(2)
+	push(0)
+	require.Equal(t, 0, q.pop(now).class)
+}
+
 // Below capacity nothing may be dropped; above it, work that waited too long
 // keeps everything behind it waiting too long.
 func TestDelayDrops(t *testing.T) {
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -142,6 +142,7 @@
 	q.n--
 	if q.waiting[it.class].Len() == 0 {
 		q.slow[it.class] = time.Time{}
+		q.passed[it.class] = 0
 	}
 	return true
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -121,7 +121,7 @@
 func (x *exchange) send() error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	x.fill(req, x.conn.RemoteAddr().String())
+	x.fill(req, x.conn.host)
 	if x.r.Body != nil && x.r.Length != 0 {
 		req.SetBodyStream(source{x}, int(x.r.Length))
 	}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -41,6 +41,7 @@
 	r      *bufio.Reader
 	w      *bufio.Writer
 	raw    syscall.RawConn // nil when there is no file descriptor
+	host   string          // what the Host header says unless the request does
 	target uint64          // the server that it was opened to
 	reused bool
 	since  time.Time // when it became idle
@@ -86,8 +87,8 @@
 	return open, data
 }
 
-func newConn(nc net.Conn, target uint64) *conn {
-	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, headBytes), w: bufio.NewWriterSize(nil, bufferBytes), target: target}
+func newConn(nc net.Conn, host string, target uint64) *conn {
+	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, headBytes), w: bufio.NewWriterSize(nil, bufferBytes), host: host, target: target}
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
@@ -276,7 +277,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc, target), nil
+	return newConn(nc, addr, target), nil
 }
 
 // put makes the connection available to other requests.
