Wait for a new service's endpoints before the first assignment

Cause: the first endpoint that announced itself got 56 of 64 ranges, and spreading them takes minutes of the churn budget. Change: ranges that never had an owner wait until no endpoint of the service has arrived for 500 ms, 2 s at the most. Conclusion: one endpoint that announces itself late still starts with few.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -264,6 +264,7 @@
 
 func (d *demonstration) report(r load.Report) {
 	d.printf("\nwhat callers saw at %d requests/s:\n%v", demoRate, r)
+	d.printf("reasons: %v\n", r.Total.Reasons)
 	if len(r.Outages) > 0 {
 		o := r.Outages[0]
 		d.printf("longest time without a good answer for a key: %v (%s)\n", o.Duration.Round(time.Millisecond), o.Key)
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -240,6 +240,9 @@
 func (v *voter) commandsOf(moves []pollenlatch.Move) (*pollenlatch.Assign, *pollenlatch.Freeze) {
 	assign, freeze := new(pollenlatch.Assign), new(pollenlatch.Freeze)
 	for _, m := range moves {
+		if m.From == 0 && m.Fence == 0 && v.arriving(m.Service) {
+			continue
+		}
 		if m.From == 0 {
 			o, _ := v.state.OwnerAt(m.Shard)
 			assign.Items = append(assign.Items, pollenlatch.AssignItem{
@@ -252,6 +255,47 @@
 	return assign, freeze
 }
 
+// arrivals is the count of a service's usable endpoints when its first
+// assignment was wanted, and since.
+type arrivals struct {
+	usable  int
+	since   pollenlatch.Mono // of this count
+	started pollenlatch.Mono
+}
+
+const (
+	// arrivalPause is how long no further endpoint of a new service must have
+	// arrived before its ranges get their first owners. Otherwise the first
+	// endpoint gets nearly all of them, and spreading them takes minutes of the
+	// churn budget.
+	arrivalPause = 500 * time.Millisecond
+	// arrivalMost bounds the wait when endpoints keep arriving.
+	arrivalMost = 2 * time.Second
+)
+
+// arriving reports whether the first assignment of a service should wait for
+// more endpoints.
+func (v *voter) arriving(service string) bool {
+	if v.arrivals == nil {
+		v.arrivals = make(map[string]arrivals)
+	}
+	usable := 0
+	for _, i := range v.state.Endpoints(service) {
+		if i.Usable() {
+			usable++
+		}
+	}
+	a, ok := v.arrivals[service]
+	if !ok {
+		a.started = v.now
+	}
+	if a.usable != usable {
+		a.usable, a.since = usable, v.now
+	}
+	v.arrivals[service] = a
+	return v.now.Sub(a.since) < arrivalPause && v.now.Sub(a.started) < arrivalMost
+}
+
 // freezeOf returns the start of a hand-over. A key without a record of its own
 // is handed over by freezing its range until the key has a record.
 func (v *voter) freezeOf(m pollenlatch.Move) pollenlatch.FreezeItem {
--- a/ctrl/voter.go
+++ b/ctrl/voter.go
@@ -44,6 +44,7 @@
 	moving   map[pollenlatch.Shard]pollenlatch.InstanceID // hand-overs in progress, by present owner
 	splits   map[lease.Key]string                         // ranges frozen for one of their keys
 	reasons  map[pollenlatch.Shard]string                 // of the planner's newest moves
+	arrivals map[string]arrivals                          // of services without a first assignment
 	planAt   pollenlatch.Mono
 	replan   bool
 	force    pollenlatch.Version // version held by every daemon with a lease, as of forceAt
@@ -166,7 +167,7 @@
 	v.granter.Reset()
 	v.proposed, v.pending = nil, nil
 	v.subs, v.order, v.waiters = nil, nil, nil
-	v.loads, v.endedAt, v.splits = nil, nil, nil
+	v.loads, v.endedAt, v.splits, v.arrivals = nil, nil, nil, nil
 	if !e.Lead {
 		v.logf("leadership ended", "term", e.Term)
 		return
