state: check in the property test who gets the records

Change: the oracle requires that a released shard goes to the instance that got its records; releases are sometimes proposed with another target.

--- a/state/property_test.go
+++ b/state/property_test.go
@@ -102,6 +102,7 @@
 		after, _ := now.Instance(a.Instance)
 		ended := before.Lease != after.Lease
 		require.True(m.w.t, ended || m.stopped.Has(a.Shard), "%s moved from %d to %d, but %d still serves it", key, a.Instance, b.Instance, a.Instance)
+		require.True(m.w.t, ended || a.Next == b.Instance, "%s moved to %d, but its records went to %d", key, b.Instance, a.Next)
 	}
 }
 
@@ -206,6 +207,9 @@
 	if it.Key != "" && rapid.Bool().Draw(t, "remove") {
 		it.To = 0
 	}
+	if rapid.IntRange(0, 4).Draw(t, "astray") == 0 {
+		it.To = instanceID(t)
+	}
 	m.propose(t, it)
 }
 
