cmd: print the result of check as JSON

Cause: check had no -o. Its first run on a file that is no YAML also listed every setting as missing. Change: check -o json prints faults with file, line, path and text; settings that are no YAML get the fault of syntax alone. Measured: go test -race ./cmd ./conf ./ticket passes.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"regexp"
@@ -22,44 +23,67 @@
 	setup: func(f *flags) func(*env) error {
 		var file string
 		var secrets bool
+		output := outputTable
 		f.positional(&file, "FILE")
 		f.boolean(&secrets, "", "secrets", "also read the key and token files that settings name")
-		return func(e *env) error { return check(e, file, secrets) }
+		f.text(&output, "o", "output", "table or json")
+		return func(e *env) error {
+			if output != outputTable && output != outputJSON {
+				return exitf(exitUsage, "--output %s is neither %s nor %s", output, outputTable, outputJSON)
+			}
+			text, err := e.read(file)
+			if err != nil {
+				return err
+			}
+			kind, summary, err := check(file, text, secrets)
+			if output == outputJSON {
+				e.writeCheck(file, kind, err)
+			} else if err == nil {
+				_, _ = fmt.Fprintf(e.stdout, "%s: %s\n", file, summary)
+			}
+			return err
+		}
 	},
 }
 
 // A ticket has a number at the top level, settings have none.
 var isTicket = regexp.MustCompile(`(?m)^number\s*:`)
 
-func check(e *env, file string, secrets bool) error {
-	text, err := e.read(file)
-	if err != nil {
-		return err
-	}
+// check checks a document and returns what it is and a summary.
+func check(file, text string, secrets bool) (kind, summary string, err error) {
 	if isTicket.MatchString(text) {
-		return checkTicket(e, file, text)
+		number, spec, err := ticket.Parse(text)
+		if err != nil {
+			return "ticket", "", withFile(file, err)
+		}
+		return "ticket", fmt.Sprintf("ticket %d is in order: %d services, %d callers, %d voters, %d to remove",
+			number, len(spec.Services), len(spec.Callers), len(spec.Voters), len(spec.Remove)), nil
 	}
 	s, err := conf.Parse(file, []byte(text))
-	if err != nil {
-		return err
+	if err == nil && secrets {
+		err = readSecrets(s)
 	}
-	if secrets {
-		if err := readSecrets(s); err != nil {
-			return err
-		}
-	}
-	_, _ = fmt.Fprintf(e.stdout, "%s: settings of instance %s in %s are in order\n", file, s.Name, s.DC)
-	return nil
+	return "settings", fmt.Sprintf("settings of instance %s in %s are in order", s.Name, s.DC), err
 }
 
-func checkTicket(e *env, file, text string) error {
-	number, spec, err := ticket.Parse(text)
-	if err != nil {
-		return withFile(file, err)
+// writeCheck prints the result of a check as JSON.
+func (e *env) writeCheck(file, kind string, err error) {
+	out := struct {
+		File   string        `json:"file"`
+		Kind   string        `json:"kind"`
+		OK     bool          `json:"ok"`
+		Faults []field.Fault `json:"faults"`
+	}{File: file, Kind: kind, OK: err == nil, Faults: []field.Fault{}}
+	var fe *field.Error
+	switch {
+	case errors.As(err, &fe):
+		out.Faults = fe.Faults
+	case err != nil:
+		out.Faults = append(out.Faults, field.Fault{File: file, Text: err.Error()})
 	}
-	_, _ = fmt.Fprintf(e.stdout, "%s: ticket %d is in order: %d services, %d callers, %d voters, %d to remove\n",
-		file, number, len(spec.Services), len(spec.Callers), len(spec.Voters), len(spec.Remove))
-	return nil
+	enc := json.NewEncoder(e.stdout)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(out)
 }
 
 // withFile names the file in the faults of a document.
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -253,6 +253,9 @@
 		{"check ../examples/board/ticket.yaml", exitOK, "ticket 1 is in order: 3 services"},
 		{"check ../examples/board/howrah-1.yaml", exitOK, "settings of instance howrah-1"},
 		{"check --secrets ../examples/board/howrah-1.yaml", exitFailed, "keyfile: stat /etc/pollenlatch/key"},
+		{"check -o xml ../examples/board/ticket.yaml", exitUsage, "--output xml is neither"},
+		{"check -o json ../examples/board/ticket.yaml", exitOK, `"kind": "ticket",`},
+		{"check -o json cmd.go", exitFailed, `"text": "YAML syntax: found character`},
 		{"version", exitOK, "pollenlatch dev"},
 		{"--version", exitOK, "pollenlatch dev"},
 	} {
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -98,7 +98,9 @@
 func Parse(file string, text []byte) (Settings, error) {
 	s := Defaults()
 	d := field.Read(file, text, &s)
-	check(d, &s)
+	if d.Has("") { // otherwise the text is no YAML, and every field would be missing
+		check(d, &s)
+	}
 	if err := d.Err(); err != nil {
 		return Settings{}, err
 	}
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -57,6 +57,11 @@
 	} {
 		t.Run(c.name, func(t *testing.T) { refuses(t, least+c.more, c.want) })
 	}
+	t.Run("only the syntax when that is wrong", func(t *testing.T) {
+		_, err := Parse("s.yaml", []byte("name: [\n"))
+		require.ErrorContains(t, err, "YAML syntax")
+		require.NotContains(t, err.Error(), "missing")
+	})
 	for _, c := range []struct{ name, old, new, want string }{
 		{"host name", "10.0.0.1:7000", "nadia:7000", "s.yaml:3: addresses.link: \"nadia:7000\" is not an IP address"},
 		{"unspecified", "10.0.0.1:7000", "0.0.0.0:7000", "addresses.link: 0.0.0.0:7000 is announced"},
--- a/field/doc.go
+++ b/field/doc.go
@@ -69,7 +69,8 @@
 	return false
 }
 
-// Has reports whether the document sets the field.
+// Has reports whether the document sets the field. Path "" is the document
+// itself, which is absent when its syntax is wrong.
 func (d *Doc) Has(path string) bool {
 	_, ok := d.lines[path]
 	return ok
