--- a/front/router.go
+++ b/front/router.go
@@ -220,7 +220,11 @@
 		w.Owner = t.instance.Front
 	}
 	if t.done != nil {
-		w.Body = &watched{ReadCloser: w.Body, done: t.done, took: time.Since(start)}
+		b := &watched{ReadCloser: w.Body, done: t.done, took: time.Since(start)}
+		if w.Status >= http.StatusInternalServerError {
+			b.reason = pollenlatch.ServerError
+		}
+		w.Body = b
 	}
 	return w, nil
 }
@@ -238,8 +242,9 @@
 // watched reports the end of an answer to the picker.
 type watched struct {
 	io.ReadCloser
-	done func(pollenlatch.Outcome, pollenlatch.Reason, time.Duration)
-	took time.Duration // until the head of the answer
+	done   func(pollenlatch.Outcome, pollenlatch.Reason, time.Duration)
+	took   time.Duration      // until the head of the answer
+	reason pollenlatch.Reason // of a complete answer
 }
 
 // Read implements io.Reader.
@@ -247,7 +252,7 @@
 	n, err := b.ReadCloser.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
-		b.end(pollenlatch.Ran, "")
+		b.end(pollenlatch.Ran, b.reason)
 	case err != nil:
 		b.end(pollenlatch.Unknown, pollenlatch.Broken)
 	}
