front: benchmark a forwarded request against a local one

Cause: the cost of the extra hop has to be known. Change: BenchmarkRequest, with caller and both daemons in one process.

--- /dev/null
+++ b/front/bench_test.go
@@ -0,0 +1,135 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+	"pollenlatch/link"
+)
+
+// benchSite starts a daemon that takes requests of callers over TCP and returns
+// its address. Requests of service claims run at owner: 1 is the daemon itself,
+// 2 another one over a link.
+func benchSite(b *testing.B, owner pollenlatch.InstanceID) string {
+	b.Helper()
+	run := pollenlatch.HandlerFunc(func(_ context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+		if r.Body != nil {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return nil, err
+			}
+		}
+		return &pollenlatch.Response{
+			ResponseHead: pollenlatch.ResponseHead{Status: 200, Length: int64(len(benchAnswer))},
+			Body:         io.NopCloser(bytes.NewReader(benchAnswer)),
+		}, nil
+	})
+	key := bytes.Repeat([]byte("k"), 16)
+	remote, err := link.New(link.Config{Group: "g", Name: "c", Incarnation: 1, Key: key, Requests: run})
+	require.NoError(b, err)
+	addr, err := remote.Listen("127.0.0.1:0")
+	require.NoError(b, err)
+	local, err := link.New(link.Config{Group: "g", Name: "b", Incarnation: 1, Key: key})
+	require.NoError(b, err)
+	rt := NewRouter(RouterConfig{
+		Control: newControl(owner), Local: run, Picker: &fakePicker{},
+		Forward: forwardTo{local, addr.String()},
+	})
+	s, err := NewServer(Config{Control: newControl(owner), Handler: rt})
+	require.NoError(b, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() {
+		require.NoError(b, s.Close())
+		<-s.Done()
+		require.NoError(b, local.Close())
+		require.NoError(b, remote.Close())
+	})
+	return l.Addr().String()
+}
+
+var benchAnswer = bytes.Repeat([]byte("a"), 512)
+
+// forwardTo sends every request to one address.
+type forwardTo struct {
+	node *link.Node
+	addr string
+}
+
+func (f forwardTo) Forward(ctx context.Context, _ string, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+	return f.node.Forward(ctx, f.addr, r)
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkRequest compares a request that the entry daemon runs itself with
+// one that it forwards. Caller, entry daemon and owner's daemon are in one
+// process; req/cpu-s counts the processor time of all three.
+func BenchmarkRequest(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		owner pollenlatch.InstanceID
+		raw   string
+	}{
+		{"local", 1, "GET /s/claims/lot-1 HTTP/1.1\r\nHost: x\r\nAccept: */*\r\n\r\n"},
+		{"forwarded", 2, "GET /s/claims/lot-1 HTTP/1.1\r\nHost: x\r\nAccept: */*\r\n\r\n"},
+		{"forwarded-1KB", 2, "POST /s/claims/lot-1 HTTP/1.1\r\nHost: x\r\nContent-Length: 1024\r\n\r\n" + string(bytes.Repeat([]byte("b"), 1024))},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			addr := benchSite(b, c.owner)
+			raw := []byte(c.raw)
+			b.ReportAllocs()
+			b.SetParallelism(8)
+			before := cpuTime(b)
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				conn, err := net.Dial("tcp", addr)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				r := bufio.NewReader(conn)
+				for pb.Next() {
+					if _, err := conn.Write(raw); err != nil {
+						b.Error(err)
+						return
+					}
+					if err := skipAnswer(r); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/(cpuTime(b)-before).Seconds(), "req/cpu-s")
+		})
+	}
+}
+
+// skipAnswer reads an answer whose body is benchAnswer.
+func skipAnswer(r *bufio.Reader) error {
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) <= 2 {
+			_, err := r.Discard(len(benchAnswer))
+			return err
+		}
+	}
+}
