Wait for requests of older fences and hold unfenced servers across a rejoin

Cause: a review of ctrl by the author of package state. (1) A hand-over waited only for requests under the present fence, but the state raises the fence of an owner that keeps its shard (a cancelled hand-over, a hot key's record made or removed), so a request of the older fence could run beside the next owner. (2) A daemon that started again ended the wait for its lost server that does not check fences, and a ticket that lowers maxrun shortened it. Change: the counter knows the requests of a range by fence, and a hand-over waits for those whose fence is not current any more. The hold of a lost server is fixed when its lease ends and outlasts a new lease. Records of shards that moved are dropped once the new owner shows in the state. Conclusion: both cases are closed; a leader elected after a ticket lowered maxrun does not know the older value.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -243,7 +243,7 @@
 		{"owner listing", exitUsage, "KEY is missing"},
 		{"owner listing -- -k", exitFailed, "there is no service \"listing\""},
 		{"owner listing -- -k x", exitUsage, "unexpected argument: x"},
-		{"status -o xml", exitUsage, "--output xml is neither table nor json"},
+		{"status -o xml", exitUsage, "--output xml is not one of table, json"},
 		{"status --timeout 1h", exitUsage, "--timeout 1h0m0s is not above 0"},
 		{"status --timeout x", exitUsage, "invalid duration"},
 		{"status --token-file /nonexistent", exitUsage, "no such file"},
--- a/ctrl/access.go
+++ b/ctrl/access.go
@@ -98,8 +98,15 @@
 	return p, nil
 }
 
-// Await calls f once nothing of the shard is in flight.
-func (d *Desk) Await(k lease.Key, f func()) { d.counter.Empty(k, f) }
+// Await calls f once nothing is in flight that the hand-over of the shard has
+// to wait for.
+func (d *Desk) Await(k lease.Key, f func()) {
+	d.counter.Empty(k, func(k lease.Key) bool {
+		a := d.Access()
+		o, ok := a.View.OwnerAt(k.Shard)
+		return ok && o.Instance == a.Self && o.Fence == k.Fence
+	}, f)
+}
 
 // InFlight returns the number of requests in flight.
 func (d *Desk) InFlight() int { return d.counter.Total() }
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -13,10 +13,6 @@
 // the state runs it at once.
 const planInterval = 100 * time.Millisecond
 
-// maxRunWait bounds the wait for requests of a lost server that does not check
-// fences, when the service that names the bound is gone.
-const maxRunWait = 30 * time.Second
-
 func (v *voter) onRenew(from string, m *pollenlatch.Renew) {
 	answer := &pollenlatch.Renewed{Seq: m.Seq, Lease: m.Lease, Version: v.state.Version()}
 	defer func() { v.reply(from, &pollenlatch.Message{Renewed: answer}) }()
@@ -128,9 +124,7 @@
 // expire ends the leases that have lapsed.
 func (v *voter) expire() {
 	for _, l := range v.granter.Lapsed(v.now) {
-		if _, ok := v.endedAt[l.Instance]; !ok {
-			v.endedAt[l.Instance] = l.End
-		}
+		v.holdBack(v.state, l.Instance, l.End)
 		v.proposeOnce(fmt.Sprintf("expire %d", l.Lease), &pollenlatch.Command{Expire: &pollenlatch.Expire{
 			Instance: l.Instance, Lease: l.Lease,
 		}})
@@ -214,27 +208,7 @@
 	for _, owner := range v.moving {
 		busy[owner]++
 	}
-	return pollenlatch.Placement{View: v.state, Loads: v.loads, Held: v.heldBack(), Busy: busy, Now: v.now}
-}
-
-// heldBack returns the lost instances whose server does not check fences and
-// may still run what it was given before the lease ended.
-func (v *voter) heldBack() pollenlatch.Set[pollenlatch.InstanceID] {
-	held := make(pollenlatch.Set[pollenlatch.InstanceID])
-	for id, end := range v.endedAt {
-		i, ok := v.state.Instance(id)
-		if !ok || i.Endpoint == nil || i.Endpoint.Fenced {
-			continue
-		}
-		wait := maxRunWait
-		if s, ok := v.state.Service(i.Endpoint.Service); ok {
-			wait = s.MaxRun
-		}
-		if v.now < end.Add(wait) {
-			held[id] = struct{}{}
-		}
-	}
-	return held
+	return pollenlatch.Placement{View: v.state, Loads: v.loads, Held: v.holds.at(v.now), Busy: busy, Now: v.now}
 }
 
 func (v *voter) commandsOf(moves []pollenlatch.Move) (*pollenlatch.Assign, *pollenlatch.Freeze) {
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -56,7 +56,8 @@
 	Disk     Disk                // nil in a process that is not a voter
 	Granter  pollenlatch.Granter // nil when there is no server beside this daemon
 	Transfer Transfer
-	Log      *quorum.Start // what the data folder held; nil in a process that is not a voter
+	Moved    func(keys []lease.Key) // told of changed shards after the new view is published; may be nil
+	Log      *quorum.Start          // what the data folder held; nil in a process that is not a voter
 
 	once    sync.Once // makes the channels
 	events  chan func(pollenlatch.Mono) Event
@@ -70,6 +71,7 @@
 	halted  error
 	workers sync.WaitGroup
 	origins origins
+	moved   []lease.Key
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -222,6 +224,10 @@
 	for _, e := range l.Reducer.Step(ev) {
 		l.carryOut(ctx, e)
 	}
+	if len(l.moved) > 0 && l.Moved != nil {
+		l.Moved(l.moved)
+	}
+	l.moved = nil
 }
 
 func (l *Loop) carryOut(ctx context.Context, e Effect) {
@@ -257,6 +263,7 @@
 		klog.ErrorS(e.Err, "this process can no longer be a voter")
 	case Moved:
 		l.origins.add(e, time.Now())
+		l.moved = append(l.moved, e.Keys...)
 	case Log:
 		klog.InfoS(e.Message, e.Pairs...)
 	}
--- a/ctrl/voter.go
+++ b/ctrl/voter.go
@@ -38,7 +38,7 @@
 	offer    offer
 	waiters  map[document][]waiter
 	loads    map[pollenlatch.InstanceID]pollenlatch.Load
-	endedAt  map[pollenlatch.InstanceID]pollenlatch.Mono
+	holds    holds
 	behind   pollenlatch.Mono // when the newest ticket was applied
 	newest   pollenlatch.Version
 	moving   map[pollenlatch.Shard]pollenlatch.InstanceID // hand-overs in progress, by present owner
@@ -167,7 +167,8 @@
 	v.granter.Reset()
 	v.proposed, v.pending = nil, nil
 	v.subs, v.order, v.waiters = nil, nil, nil
-	v.loads, v.endedAt, v.splits, v.arrivals = nil, nil, nil, nil
+	v.loads, v.splits, v.arrivals = nil, nil, nil
+	v.holds.forget()
 	if !e.Lead {
 		v.logf("leadership ended", "term", e.Term)
 		return
@@ -179,7 +180,6 @@
 	v.subs = make(map[string]*sub)
 	v.waiters = make(map[document][]waiter)
 	v.loads = make(map[pollenlatch.InstanceID]pollenlatch.Load)
-	v.endedAt = make(map[pollenlatch.InstanceID]pollenlatch.Mono)
 	v.logf("leadership started", "term", e.Term)
 }
 
@@ -208,9 +208,9 @@
 				wait = 0
 			}
 			v.granter.Extend(i.ID, i.Lease, v.electedAt, wait)
-		} else {
-			v.endedAt[i.ID] = v.electedAt
 		}
+		// When a lease ended under an earlier leader is not known.
+		v.holdBack(v.state, i.ID, v.electedAt)
 	}
 	v.changeGroup()
 }
@@ -275,24 +275,21 @@
 		return s.Advance(at)
 	}
 	next, result := s.Apply(at, c)
-	v.afterApply(c, result)
+	if c.Expire != nil && result.Rejected == "" && !c.Expire.Graceful {
+		v.holdBack(s, c.Expire.Instance, v.now)
+	}
+	v.afterApply(c, s, result)
 	v.noteMoves(next, result.Changed)
 	v.note(next, result.Changed)
 	return next
 }
 
 // afterApply does what the leader has to do once a command is committed.
-func (v *voter) afterApply(c *pollenlatch.Command, result state.Result) {
+func (v *voter) afterApply(c *pollenlatch.Command, before *state.State, result state.Result) {
 	switch {
 	case c.Expire != nil:
 		v.granter.Forget(c.Expire.Instance, c.Expire.Lease)
-		if v.lead && !c.Expire.Graceful && result.Rejected == "" {
-			if _, ok := v.endedAt[c.Expire.Instance]; !ok {
-				v.endedAt[c.Expire.Instance] = v.now
-			}
-		}
 	case c.Join != nil && result.Rejected == "":
-		delete(v.endedAt, result.Instance)
 		if v.lead {
 			v.granter.Extend(result.Instance, result.Lease, v.now, v.cfg.Timing.Lease)
 		}
@@ -300,6 +297,7 @@
 		v.answer(document{c.Ticket.Number, c.Ticket.Text}, *result.Verdict)
 		if result.Verdict.Accepted && v.newest < result.Verdict.Version {
 			v.newest, v.behind = result.Verdict.Version, v.now
+			v.holds.shorten(v.now, longestRun(before), v.lagBound())
 			if v.lead && v.ready && len(c.Ticket.Spec.Voters) > 0 {
 				v.changeTo(c.Ticket.Spec.Voters)
 			}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,7 +141,7 @@
 	d.once = once.New(once.Config{})
 	d.serve = serve.New(serve.Config{
 		Control: &d.desk, Gate: d.gate, Exchanger: exchanger(d.observed), Records: d.once,
-		Endpoint: d.server, Suspect: d.local.Probe, Front: d.cfg.Front,
+		Endpoint: d.server, Suspect: d.local.Probe, Front: d.cfg.Front, Metrics: d.metrics,
 	})
 	node, err := link.New(link.Config{
 		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.life, Key: d.cfg.Key,
@@ -157,6 +157,7 @@
 		Sender:   d,
 		Granter:  d.local,
 		Transfer: d.transfer,
+		Moved:    d.moved,
 	}
 	if v := d.cfg.Voter; v != nil {
 		d.loop.Disk, d.loop.Log = v.Disk, &v.Log
@@ -367,6 +368,7 @@
 	d.endpoint.Ready = false
 	e := d.endpoint
 	d.mu.Unlock()
+	d.gate.SetSlots(0) // what waits is told now that it did not run
 	d.loop.Announce(e)
 }
 
@@ -409,6 +411,8 @@
 		case <-t.C:
 			running, waiting := d.gate.Load()
 			load := d.hot.Load(pollenlatch.System{}.Now())
+			seen := d.serve.Observe()
+			load.Median, load.Suspect = seen.Median, seen.Suspect
 			load.InFlight, load.Queued = uint32(running), uint32(waiting)
 			d.loop.Measure(load)
 		case <-ctx.Done():
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"pollenlatch"
+	"pollenlatch/ctrl"
 	"pollenlatch/lease"
 )
 
@@ -87,3 +88,30 @@
 	}
 	return &pollenlatch.Received{Seq: r.Seq, OK: err == nil}
 }
+
+// moved forgets the records of shards that another instance owns now, so that
+// they do not take the room of others. A range with a hot key that stays here
+// is left alone.
+func (d *Daemon) moved(keys []lease.Key) {
+	a := d.desk.Access()
+	if a.Self == 0 {
+		return
+	}
+	for _, k := range keys {
+		o, ok := a.View.OwnerAt(k.Shard)
+		if !ok || o.Instance == 0 || o.Instance == a.Self || (k.Key == "" && d.ownsKey(a, k.Shard)) {
+			continue
+		}
+		d.once.Drop(k.Shard)
+	}
+}
+
+// ownsKey reports whether this instance owns a hot key of a range.
+func (d *Daemon) ownsKey(a *ctrl.Access, s pollenlatch.Shard) bool {
+	for _, o := range a.State().Keys(s.Service) {
+		if o.Range == s.Range && o.Instance == a.Self {
+			return true
+		}
+	}
+	return false
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -233,14 +233,21 @@
 	wg.Wait()
 }
 
-// Wait waits until the condition holds on some instance's access.
+// Wait waits until the condition holds on the access of every running instance.
 func (f *Fleet) Wait(ctx context.Context, ok func(a *ctrl.Access) bool) error {
 	for {
+		all := true
 		for _, name := range f.order {
-			if n := f.Node(name); n.Daemon != nil && ok(n.Daemon.Access()) {
-				return nil
+			n := f.Node(name)
+			select {
+			case <-n.stopped:
+			default:
+				all = all && ok(n.Daemon.Access())
 			}
 		}
+		if all {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return ErrTimeout
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -82,19 +82,33 @@
 // A hand-over that does not wait for the last request would let it run beside
 // the next owner's.
 func TestCounterWaitsForTheLast(t *testing.T) {
-	var c Counter
-	k := Key{Shard: pollenlatch.Shard{Service: "listing", Range: 3}, Fence: 5}
-	called := 0
-	c.Add(k)
-	c.Add(k)
-	c.Empty(k, func() { called++ })
-	c.Done(k)
-	require.Zero(t, called)
-	c.Done(k)
-	require.Equal(t, 1, called)
-	c.Empty(k, func() { called++ })
-	require.Equal(t, 2, called)
-	require.Zero(t, c.Total())
+	shard := pollenlatch.Shard{Service: "listing", Range: 3}
+	hot := pollenlatch.Shard{Service: "listing", Range: 3, Key: "lot-1"}
+	current := func(k Key) bool { return k.Fence == 7 }
+	for _, c := range []struct {
+		name    string
+		running Key
+		waits   bool
+	}{
+		{"same shard", Key{shard, 7}, true},
+		{"same shard, older fence", Key{shard, 5}, true},
+		{"removed record of a key", Key{hot, 6}, true},
+		{"present record of a key", Key{hot, 7}, false},
+		{"other range", Key{pollenlatch.Shard{Service: "listing", Range: 4}, 5}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var n Counter
+			called := 0
+			n.Add(c.running)
+			n.Add(c.running)
+			n.Empty(Key{shard, 7}, current, func() { called++ })
+			n.Done(c.running)
+			require.Equal(t, !c.waits, called == 1)
+			n.Done(c.running)
+			require.Equal(t, 1, called)
+			require.Zero(t, n.Total())
+		})
+	}
 }
 
 func TestMain(m *testing.M) {
--- a/sample/announce.go
+++ b/sample/announce.go
@@ -21,11 +21,16 @@
 	defer t.Stop()
 	for {
 		s.frozen.wait()
-		s.announce(s.ctx)
+		reached := s.announce(s.ctx)
 		s.post(s.ctx, local.PathLoad, s.report())
+		var again <-chan time.Time
+		if !reached {
+			again = time.After(announceRetry)
+		}
 		select {
 		case <-s.ctx.Done():
 			return
+		case <-again:
 		case <-t.C:
 		case <-s.ready():
 			s.announce(s.ctx)
@@ -45,12 +50,17 @@
 	return time.After(left)
 }
 
-func (s *Server) announce(ctx context.Context) {
+// announceRetry is the pause before another try to reach a daemon that may be
+// starting.
+const announceRetry = 50 * time.Millisecond
+
+// announce reports whether the daemon took the announcement.
+func (s *Server) announce(ctx context.Context) bool {
 	e := s.Endpoint()
 	if r := s.fault.Load().Ready; r != nil {
 		e.Ready = *r
 	}
-	s.post(ctx, local.PathAnnounce, e)
+	return s.post(ctx, local.PathAnnounce, e)
 }
 
 func (s *Server) report() local.Report {
@@ -61,13 +71,15 @@
 	return r
 }
 
-func (s *Server) post(ctx context.Context, path string, v any) {
+func (s *Server) post(ctx context.Context, path string, v any) bool {
 	if s.cfg.Daemon == "" {
-		return
+		return true
 	}
-	if err := s.send(ctx, path, v); err != nil && ctx.Err() == nil {
+	err := s.send(ctx, path, v)
+	if err != nil && ctx.Err() == nil {
 		klog.V(1).InfoS("Cannot reach the daemon", "path", path, "err", err)
 	}
+	return err == nil
 }
 
 func (s *Server) send(ctx context.Context, path string, v any) error {
