link, front: keep to deadlines while dialling and after an early answer

Cause: a request waited for a dial beyond its deadline; yamux waits without regard to a deadline when 256 streams are unanswered; a read of the body that was still in progress after an early answer made net/http clear the deadline and wait for the caller (TestServerAnswersBeforeBody failed in some runs). Change: acquire waits until the deadline; a session takes 224 streams; the server waits for a read in progress before it ends the request.

--- a/front/answer.go
+++ b/front/answer.go
@@ -166,12 +166,16 @@
 	}
 }
 
-// unblock ends a read of the body that an abandoned attempt still waits in:
-// net/http waits for it before it ends the request.
+// unblock ends the reading of a body that was not read to its end. net/http
+// reads on in it after the handler, for as long as the caller likes unless the
+// deadline has passed. It also clears that deadline if it finds a read of an
+// abandoned attempt in progress, so such a read has to end first.
 func (a *answer) unblock() {
-	if a.body != nil && !a.body.ended.Load() {
-		_ = http.NewResponseController(a.writer).SetReadDeadline(past)
+	if a.body == nil || a.body.ended.Load() {
+		return
 	}
+	_ = http.NewResponseController(a.writer).SetReadDeadline(past)
+	a.body.stop()
 }
 
 // record counts the answer.
--- a/front/replay.go
+++ b/front/replay.go
@@ -69,6 +69,14 @@
 
 func newReplay(src io.Reader) *replay { return &replay{src: src} }
 
+// stop lets no attempt read the body any more, and waits for a read in progress.
+func (r *replay) stop() {
+	r.turn.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost.Store(true)
+}
+
 func (r *replay) gone() bool { return r.lost.Load() }
 
 func (r *replay) rewind() io.Reader {
--- a/front/router.go
+++ b/front/router.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cenkalti/backoff/v5"
 
 	"pollenlatch"
@@ -32,14 +33,17 @@
 	Picker  pollenlatch.Picker
 	Budget  *pick.Budget // nil uses the defaults
 	Clock   pollenlatch.Clock
-	DC      string // of this instance
-	Retried func() // called for each retry; may be nil
+	DC      string       // of this instance
+	Metrics *metrics.Set // nil keeps the figures to itself
 }
 
 // Router sends each request to the daemon beside the server that is to run it.
 // It implements pollenlatch.Handler.
 type Router struct {
-	cfg RouterConfig
+	cfg     RouterConfig
+	retries *metrics.Counter
+	spent   *metrics.Counter // retries that the budget did not allow
+	waits   *metrics.Counter // waits for an owner or endpoint
 }
 
 // NewRouter returns a router. Control, Local, Forward and Picker must be set.
@@ -50,10 +54,15 @@
 	if cfg.Clock == nil {
 		cfg.Clock = pollenlatch.System{}
 	}
-	if cfg.Retried == nil {
-		cfg.Retried = func() {}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	return &Router{
+		cfg:     cfg,
+		retries: cfg.Metrics.GetOrCreateCounter("pollenlatch_front_retries_total"),
+		spent:   cfg.Metrics.GetOrCreateCounter("pollenlatch_front_retries_refused_total"),
+		waits:   cfg.Metrics.GetOrCreateCounter("pollenlatch_front_waits_total"),
 	}
-	return &Router{cfg: cfg}
 }
 
 // route is one request on its way through the router.
@@ -62,7 +71,7 @@
 	request *pollenlatch.Request
 	body    rewinder // nil when there is none
 	tried   pollenlatch.Set[pollenlatch.InstanceID]
-	waits   *backoff.ExponentialBackOff
+	backoff *backoff.ExponentialBackOff
 	count   int
 	unsure  bool   // an earlier attempt may have run
 	target  target // of the last attempt
@@ -138,6 +147,7 @@
 		}
 		f = failed(reason, http.StatusServiceUnavailable, "no server for the request until its deadline")
 		f.After = retryAfter
+		x.waits.Inc()
 		if !waitChange(ctx, changed, time.Until(x.request.Deadline)) {
 			if err := ctx.Err(); err != nil && time.Now().Before(x.request.Deadline) {
 				return failed(pollenlatch.Cancelled, http.StatusServiceUnavailable, "the caller went away")
@@ -281,18 +291,19 @@
 	if x.body != nil && x.body.gone() {
 		return false
 	}
-	if x.waits == nil {
-		x.waits = backoff.NewExponentialBackOff()
-		x.waits.InitialInterval, x.waits.MaxInterval, x.waits.Multiplier = retryFirst, retryMost, 2
+	if x.backoff == nil {
+		x.backoff = backoff.NewExponentialBackOff()
+		x.backoff.InitialInterval, x.backoff.MaxInterval, x.backoff.Multiplier = retryFirst, retryMost, 2
 	}
-	wait := x.waits.NextBackOff()
+	wait := x.backoff.NextBackOff()
 	if time.Until(x.request.Deadline) <= wait {
 		return false
 	}
 	if !x.cfg.Budget.Retry(x.cfg.Clock.Now()) {
+		x.spent.Inc()
 		return false
 	}
-	x.cfg.Retried()
+	x.retries.Inc()
 	return x.pause(ctx, wait)
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -101,6 +102,7 @@
 	conns atomic.Int64
 	meter *meter
 	done  chan struct{}
+	once  sync.Once // closes done
 }
 
 // NewServer returns a server that does not listen yet.
@@ -134,7 +136,7 @@
 
 // Serve takes requests from l until Shutdown or Close. It returns nil after those.
 func (s *Server) Serve(l net.Listener) error {
-	defer close(s.done)
+	defer s.once.Do(func() { close(s.done) })
 	err := s.http.Serve(newBounded(l, hardConns*s.cfg.MaxConns))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/link/conn.go
+++ b/link/conn.go
@@ -97,6 +97,10 @@
 	cfg.StreamOpenTimeout = 0 // costs a goroutine for each stream; the write timeout covers a dead peer
 	cfg.StreamCloseTimeout = n.cfg.Idle
 	cfg.ConnectionWriteTimeout = n.cfg.WriteTimeout
+	cfg.AcceptBacklog = lanes
+	if p == forData {
+		cfg.AcceptBacklog = acceptBacklog
+	}
 	cfg.EnableKeepAlive = p == forData
 	cfg.KeepAliveInterval = n.cfg.KeepAlive
 	w := &conn{Conn: c, timeout: n.cfg.WriteTimeout}
--- a/link/forward.go
+++ b/link/forward.go
@@ -43,7 +43,7 @@
 	if left <= 0 {
 		return nil, ended(context.DeadlineExceeded, false)
 	}
-	s, err := n.acquire(ctx, addr)
+	s, err := n.acquire(ctx, addr, r.Deadline)
 	if err != nil {
 		return nil, err
 	}
--- a/link/pool.go
+++ b/link/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"sync"
 	"time"
 
@@ -20,8 +21,13 @@
 
 	// idleStreams is how many streams without an exchange a session keeps.
 	idleStreams = 32
-	// maxStreams bounds the exchanges of one session at a time.
-	maxStreams = 1024
+	// acceptBacklog is how many streams of a session may be opened without an
+	// answer of the peer. Above it yamux would wait, without regard to a deadline.
+	acceptBacklog = 256
+	// maxStreams bounds the exchanges of one session at a time, and its streams
+	// with those that were given up and that the peer has not closed. It leaves
+	// room for streams that are opened at the same moment.
+	maxStreams = acceptBacklog - 32
 	// bigExchange is the size in bytes of a body after which the buffers of a
 	// stream are given back before it waits for its next exchange.
 	bigExchange  = 64 << 10
@@ -62,17 +68,23 @@
 }
 
 // acquire returns the session for addr with one more active exchange, and
-// dials if need be.
-func (n *Node) acquire(ctx context.Context, addr string) (*dataSession, error) {
+// dials if need be, until the deadline.
+func (n *Node) acquire(ctx context.Context, addr string, deadline time.Time) (*dataSession, error) {
 	s, err := n.lookup(addr)
 	if err != nil {
 		return nil, err
 	}
 	select {
 	case <-s.ready:
-	case <-ctx.Done():
-		n.release(s, nil)
-		return nil, ended(ctx.Err(), false)
+	default:
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		select {
+		case <-s.ready:
+		case <-ctx.Done():
+			n.release(s, nil)
+			return nil, ended(ctx.Err(), false)
+		}
 	}
 	if s.err != nil {
 		n.release(s, nil)
@@ -175,6 +187,9 @@
 		return st, nil
 	}
 	p.mu.Unlock()
+	if n := s.mux.NumStreams(); n >= maxStreams {
+		return nil, fmt.Errorf("%d streams are open", n)
+	}
 	y, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, err
