Await the next owner of a shard when the retry budget is spent

Cause: while an owner is lost, every request for its keys retries; the budget (10% of traffic) was spent in the 0.4 s until the next owner, and callers were told not-run. Change: a proven not-run of a lost owner waits for another owner or fence until the deadline, and the attempt there needs no budget. Endpoints of services that are not keyed are chosen by pick.Picker.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -163,7 +163,7 @@
 		d.loop.Disk, d.loop.Log = v.Disk, &v.Log
 	}
 	router := front.NewRouter(front.RouterConfig{
-		Control: &d.desk, Local: d.serve, Forward: node, Picker: pick.First{}, DC: d.cfg.DC,
+		Control: &d.desk, Local: d.serve, Forward: node, Picker: pick.New(pick.Config{}), DC: d.cfg.DC, Metrics: d.metrics,
 	})
 	d.front, err = front.NewServer(front.Config{
 		Control: &d.desk, Handler: router, Recorder: &d.burn, Metrics: d.metrics, Front: d.cfg.Front,
--- a/front/router.go
+++ b/front/router.go
@@ -301,12 +301,39 @@
 	}
 	if !x.cfg.Budget.Retry(x.cfg.Clock.Now()) {
 		x.spent.Inc()
-		return false
+		return ownerLost.Has(f.Reason) && f.Outcome == pollenlatch.NotRun && x.awaitOwner(ctx)
 	}
 	x.retries.Inc()
 	return x.pause(ctx, wait)
 }
 
+// ownerLost lists the reasons that another owner would help against.
+var ownerLost = pollenlatch.SetOf(pollenlatch.Unreachable, pollenlatch.WrongOwner, pollenlatch.NoLease)
+
+// awaitOwner waits for another owner of the shard until the deadline. An
+// attempt there needs no budget: it adds nothing to the load of the owner that
+// failed.
+func (x *route) awaitOwner(ctx context.Context) bool {
+	for x.target.owner.Instance != 0 {
+		changed := x.cfg.Control.Changed()
+		if x.ownerChanged() {
+			return ctx.Err() == nil
+		}
+		if !waitChange(ctx, changed, time.Until(x.request.Deadline)) {
+			return false
+		}
+	}
+	return false
+}
+
+// ownerChanged reports whether the shard has another owner or fence than at the
+// last attempt, or is moving.
+func (x *route) ownerChanged() bool {
+	o := x.target.owner
+	now, ok := x.cfg.Control.View().OwnerAt(o.Shard)
+	return !ok || now.Instance != o.Instance || now.Fence != o.Fence || now.Frozen()
+}
+
 // repeatable is the last column of the outcome table.
 func (x *route) repeatable(f *pollenlatch.Failure) bool {
 	switch f.Outcome {
@@ -331,11 +358,8 @@
 	until := time.Now().Add(d)
 	for {
 		changed := x.cfg.Control.Changed()
-		if o := x.target.owner; o.Instance != 0 {
-			now, ok := x.cfg.Control.View().OwnerAt(o.Shard)
-			if !ok || now.Instance != o.Instance || now.Fence != o.Fence || now.Frozen() {
-				return ctx.Err() == nil
-			}
+		if x.target.owner.Instance != 0 && x.ownerChanged() {
+			return ctx.Err() == nil
 		}
 		if !waitChange(ctx, changed, time.Until(until)) {
 			return ctx.Err() == nil
--- a/front/router_test.go
+++ b/front/router_test.go
@@ -275,6 +275,27 @@
 	})
 }
 
+// Requests for a lost owner's keys must not fail because the budget is spent on
+// that owner: the next one is not overloaded by them.
+func TestRouterAwaitsOwnerWithoutBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var x *rig
+		x = newRig(2, func(n int, _ *pollenlatch.Request) (*pollenlatch.Response, error) {
+			if n == 1 {
+				time.AfterFunc(600*time.Millisecond, func() {
+					x.control.set(func(v *fakeView) { v.owner = pollenlatch.Owner{Instance: 3, Fence: 5} })
+				})
+				return nil, failure(pollenlatch.NotRun, pollenlatch.Unreachable, 503)
+			}
+			return ok("remote"), nil
+		})
+		x.router.cfg.Budget = &pick.Budget{Floor: 1e-9}
+		_, err := x.router.Handle(t.Context(), post("claims", "k"))
+		require.NoError(t, err)
+		require.Len(t, x.forward.addrs, 2)
+	})
+}
+
 // A retry must go to another endpoint first, and every choice must be reported.
 func TestRouterTriesOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
