Benchmark the path through the owner and through another daemon

Cause: the cost of the path was not measured. Change: BenchmarkPath sends one request straight to the sample server, through its owner's daemon and through another daemon, at 1, 16 and 64 connections, all in one process.

--- /dev/null
+++ b/fleet/bench_test.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"pollenlatch"
+	"pollenlatch/ctrl"
+)
+
+// BenchmarkPath compares one request sent straight to the sample server with
+// the same through its owner's daemon and through another daemon. It reports
+// the median and the 99th percentile in microseconds.
+func BenchmarkPath(b *testing.B) {
+	cfg := board()
+	cfg.Dir = b.TempDir()
+	for i := range cfg.Places {
+		cfg.Places[i].Endpoint.Slots, cfg.Places[i].Endpoint.Conns = 100, 200
+	}
+	f, err := Start(cfg)
+	require.NoError(b, err)
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(b.Context(), testLimit)
+	defer cancel()
+	_, err = f.Submit(ctx, pollenlatch.Ticket{Number: 1, Text: listingTicket, Sender: "bench"})
+	require.NoError(b, err)
+	var owner pollenlatch.Owner
+	require.NoError(b, f.Wait(ctx, func(a *ctrl.Access) bool {
+		o, ok := a.View.Owner("listing", "lot-1")
+		owner = o
+		return ok && o.Instance != 0
+	}))
+	var mine, other *Node
+	for _, name := range f.Names() {
+		if n := f.Node(name); n.Daemon.Access().Self == owner.Instance {
+			mine = n
+		} else {
+			other = n
+		}
+	}
+	for _, conns := range []int{1, 16, 64} {
+		for _, p := range []struct{ name, addr string }{
+			{"direct", mine.Addrs.Server}, {"owner", mine.Addrs.Front}, {"forward", other.Addrs.Front},
+		} {
+			b.Run(fmt.Sprintf("%s/%d", p.name, conns), func(b *testing.B) {
+				benchPath(b, p.addr, conns, owner.Fence, owner.Range)
+			})
+		}
+	}
+}
+
+func benchPath(b *testing.B, addr string, conns int, f pollenlatch.Fence, r pollenlatch.Range) {
+	client := &fasthttp.HostClient{Addr: addr, MaxConns: conns, Dial: func(a string) (net.Conn, error) { return net.Dial("tcp", a) }}
+	took := make([][]time.Duration, conns)
+	todo := make(chan struct{}, b.N)
+	for range b.N {
+		todo <- struct{}{}
+	}
+	close(todo)
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for c := range conns {
+		wg.Go(func() {
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.SetRequestURI("http://" + addr + "/s/listing/lot-1/view")
+			req.Header.Set("Pollen-Service", "listing")
+			req.Header.Set("Pollen-Key", "lot-1")
+			req.Header.Set("Pollen-Fence", fmt.Sprint(f))
+			req.Header.Set("Pollen-Range", fmt.Sprintf("%d", r))
+			for range todo {
+				start := time.Now()
+				if err := client.Do(req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+					b.Errorf("status %d: %v %s", resp.StatusCode(), err, resp.Body())
+					return
+				}
+				took[c] = append(took[c], time.Since(start))
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	client.CloseIdleConnections()
+	all := slices.Concat(took...)
+	slices.Sort(all)
+	if len(all) > 0 {
+		b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-us")
+		b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-us")
+	}
+}
