--- /dev/null
+++ b/bench/bench.go
@@ -0,0 +1,303 @@
+// Package bench runs traffic experiments on a deployment in one process, in the
+// shape of the users' deployments, and checks what callers were told against
+// what the servers ran.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/ctrl"
+	"pollenlatch/fleet"
+	"pollenlatch/load"
+)
+
+// Shape is a deployment to experiment on: one keyed service.
+type Shape struct {
+	Name        string
+	Service     string
+	DCs         []string
+	Servers     int
+	Slots       uint32
+	Conns       uint32
+	ServiceTime time.Duration // mean run of a request
+	Urgent      string        // kind of the requests that come first and must not run twice
+	Routine     string        // kind of the others
+}
+
+// Shapes are the users' keyed services. A service time of 20 ms keeps the
+// capacity low enough for daemons, servers and callers to share one machine.
+var Shapes = []Shape{
+	{
+		Name: "board", Service: "listing", DCs: []string{"howrah", "hooghly", "nadia", "bardhaman"},
+		Servers: 4, Slots: 10, Conns: 100, ServiceTime: 20 * time.Millisecond, Urgent: "claim", Routine: "view",
+	},
+	{
+		Name: "cratehaul", Service: "catalogue", DCs: []string{"ikeja", "apapa", "lekki"},
+		Servers: 5, Slots: 10, Conns: 100, ServiceTime: 20 * time.Millisecond, Urgent: "dispatch", Routine: "lookup",
+	},
+}
+
+// Capacity returns the requests a second that all slots can serve.
+func (s Shape) Capacity() float64 {
+	return float64(s.Servers) * float64(s.Slots) / s.ServiceTime.Seconds()
+}
+
+// Config describes a series of experiments.
+type Config struct {
+	Shape    Shape
+	Attempts int           // of a caller; 0 is 4
+	Only     string        // part of the names of the experiments to run; empty is all
+	Loads    []float64     // offered load relative to the capacity
+	Duration time.Duration // of each run
+	Seed     uint64
+}
+
+// DefaultLoads are half load, near capacity, and two overloads.
+var DefaultLoads = []float64{0.5, 0.9, 1.5, 3}
+
+const (
+	urgentShare     = 0.2
+	keys            = 2000
+	zipf            = 0.8
+	body            = 64 // bytes of an urgent request
+	faultLoad       = 0.5
+	defaultAttempts = 4
+	readyLimit      = 30 * time.Second
+	freezeFor       = 2 * time.Second
+)
+
+// Run carries out every experiment and writes a table.
+func Run(ctx context.Context, w io.Writer, cfg Config) error {
+	if cfg.Attempts == 0 {
+		cfg.Attempts = defaultAttempts
+	}
+	_, _ = fmt.Fprintf(w, "%s: %d servers with %d slots, service time %v, capacity %.0f requests/s, %v a run, %d attempts of a caller, seed %d\n\n",
+		cfg.Shape.Name, cfg.Shape.Servers, cfg.Shape.Slots, cfg.Shape.ServiceTime, cfg.Shape.Capacity(), cfg.Duration, cfg.Attempts, cfg.Seed)
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "experiment\tkind\tsent/s\tgood/s\tnot-run\tunknown\tp50 ms\tp99 ms\tp99.9 ms\tran twice\tfalse not-run\tlag ms\treasons\t")
+	for _, x := range cfg.experiments() {
+		if cfg.Only != "" && !strings.Contains(x.name, cfg.Only) {
+			continue
+		}
+		r, err := cfg.run(ctx, x)
+		if err != nil {
+			return fmt.Errorf("%s: %w", x.name, err)
+		}
+		r.write(t, x.name, cfg.Duration)
+	}
+	return t.Flush()
+}
+
+// experiment is one run, with faults while it lasts.
+type experiment struct {
+	name  string
+	load  float64
+	fault func(ctx context.Context, f *fleet.Fleet, d time.Duration) error
+}
+
+func (c Config) experiments() []experiment {
+	var out []experiment
+	for _, l := range c.Loads {
+		out = append(out, experiment{name: fmt.Sprintf("%.1f x capacity", l), load: l})
+	}
+	return append(
+		out,
+		experiment{"server frozen for 2 s", faultLoad, freeze},
+		experiment{"instance lost", faultLoad, lose},
+		experiment{"rolling restart", faultLoad, restart},
+	)
+}
+
+// result is what callers saw and what was wrong about it.
+type result struct {
+	load.Report
+	twice, denied int
+}
+
+func (c Config) run(ctx context.Context, x experiment) (result, error) {
+	dir, err := os.MkdirTemp("", "pollenlatch-bench-")
+	if err != nil {
+		return result{}, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f, err := c.start(ctx, dir)
+	if err != nil {
+		return result{}, err
+	}
+	defer f.Close()
+	var mu sync.Mutex
+	var urgent []load.Result
+	cfg := c.load(f, x.load)
+	cfg.Done = func(r load.Result) {
+		if r.Kind == c.Shape.Urgent {
+			mu.Lock()
+			defer mu.Unlock()
+			urgent = append(urgent, r)
+		}
+	}
+	faults := make(chan error, 1)
+	go func() {
+		if x.fault == nil {
+			faults <- nil
+			return
+		}
+		faults <- x.fault(ctx, f, c.Duration)
+	}()
+	out := result{}
+	if out.Report, err = load.Run(ctx, cfg); err != nil {
+		return out, err
+	}
+	if err := <-faults; err != nil {
+		return out, err
+	}
+	for _, r := range urgent {
+		n := f.Ledger().Count(r.ID)
+		if n > 1 {
+			out.twice++
+		}
+		if n > 0 && r.Outcome == pollenlatch.NotRun && !r.Unsure {
+			out.denied++
+		}
+	}
+	return out, nil
+}
+
+func (c Config) start(ctx context.Context, dir string) (*fleet.Fleet, error) {
+	cfg := fleet.Config{Dir: dir, ServiceTime: c.Shape.ServiceTime, Spread: 0.5, Seed: c.Seed}
+	for i := range c.Shape.Servers {
+		cfg.Places = append(cfg.Places, fleet.Place{
+			Name: fmt.Sprintf("%s-%d", c.Shape.Service, i+1), DC: c.Shape.DCs[i%len(c.Shape.DCs)], Voter: i < 3,
+			Endpoint: pollenlatch.Endpoint{Service: c.Shape.Service, Slots: c.Shape.Slots, Conns: c.Shape.Conns, Fenced: true, Ready: true},
+		})
+	}
+	f, err := fleet.Start(cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.prepare(ctx, f); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// prepare creates the service and waits until every endpoint owns ranges.
+func (c Config) prepare(ctx context.Context, f *fleet.Fleet) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	v, err := f.Submit(ctx, pollenlatch.Ticket{Number: 1, Text: c.ticket(), Sender: "bench"})
+	if err != nil {
+		return err
+	}
+	if !v.Accepted {
+		return fmt.Errorf("ticket refused: %v", v.Faults)
+	}
+	return f.Wait(ctx, func(a *ctrl.Access) bool {
+		owners := make(pollenlatch.Set[pollenlatch.InstanceID])
+		s, ok := a.View.Service(c.Shape.Service)
+		for i := range s.Ranges() {
+			o, _ := a.View.OwnerAt(pollenlatch.Shard{Service: s.Name, Range: pollenlatch.Range(i)})
+			owners[o.Instance] = struct{}{}
+		}
+		return ok && !owners.Has(0) && len(owners) == c.Shape.Servers
+	})
+}
+
+func (c Config) ticket() string {
+	return fmt.Sprintf(`number: 1
+services:
+  - name: %s
+    keyed: true
+    ranges: 256
+    maxrun: 2s
+    queue: 100
+    idempotent: [%s]
+    rules:
+      - {kind: %s, class: urgent}
+      - {kind: %s, class: routine}
+`, c.Shape.Service, c.Shape.Routine, c.Shape.Urgent, c.Shape.Routine)
+}
+
+func (c Config) load(f *fleet.Fleet, x float64) load.Config {
+	cfg := load.Config{
+		Service: c.Shape.Service, Rate: x * c.Shape.Capacity(), Duration: c.Duration, Keys: keys, Zipf: zipf,
+		Seed: c.Seed, Timeout: 2 * time.Second, Attempts: c.Attempts, Conns: 1000, InFlight: 50_000,
+		Kinds: []load.Kind{
+			{Name: c.Shape.Urgent, Caller: "urgent", Share: urgentShare, Method: "POST", Body: body, Idempotent: true},
+			{Name: c.Shape.Routine, Caller: "routine", Share: 1 - urgentShare},
+		},
+	}
+	for _, name := range f.Names() {
+		cfg.Targets = append(cfg.Targets, f.Node(name).Addrs.Front)
+	}
+	return cfg
+}
+
+func (r result) write(w io.Writer, name string, d time.Duration) {
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	for i, s := range r.Kinds {
+		twice, denied := "", ""
+		if i == 0 {
+			twice, denied = fmt.Sprint(r.twice), fmt.Sprint(r.denied)
+		}
+		q := s.Quantile
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%d\t%d\t%.1f\t%.1f\t%.1f\t%s\t%s\t%.0f\t%v\t\n",
+			name, s.Name, float64(s.Sent)/d.Seconds(), float64(s.Good)/d.Seconds(), s.NotRun, s.Unknown,
+			ms(q.P50), ms(q.P99), ms(q.P999), twice, denied, ms(r.Lag), s.Reasons)
+	}
+}
+
+// pause waits for a part of a run.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// freeze stops one server without a word and lets it return.
+func freeze(ctx context.Context, f *fleet.Fleet, d time.Duration) error {
+	s := f.Node(f.Names()[1]).Server
+	if err := pause(ctx, d/3); err != nil {
+		return err
+	}
+	s.Freeze()
+	defer s.Thaw()
+	return pause(ctx, freezeFor)
+}
+
+// lose ends one instance with its server as a power failure does.
+func lose(ctx context.Context, f *fleet.Fleet, d time.Duration) error {
+	if err := pause(ctx, d/3); err != nil {
+		return err
+	}
+	f.Kill(f.Names()[1])
+	return nil
+}
+
+// restart ends and starts every instance, one after the other.
+func restart(ctx context.Context, f *fleet.Fleet, d time.Duration) error {
+	names := f.Names()
+	for _, name := range names {
+		if err := pause(ctx, d/time.Duration(2*len(names))); err != nil {
+			return err
+		}
+		if err := f.Shut(ctx, name); err != nil {
+			return err
+		}
+		if err := f.Restart(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bench.go
@@ -0,0 +1,43 @@
+package cmd
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"pollenlatch/bench"
+)
+
+const benchDuration = 6 * time.Second
+
+var benchCommand = command{
+	name:     "bench",
+	args:     "SHAPE",
+	about:    "run traffic experiments on a deployment in this process: board or cratehaul",
+	examples: []string{"bench board", "bench --duration 10s --seed 2 cratehaul"},
+	setup: func(f *flags) func(*env) error {
+		var shape, only string
+		var attempts uint64
+		seed, duration := uint64(1), benchDuration
+		f.positional(&shape, "SHAPE")
+		f.uint64(&seed, "", "seed", "of arrivals, keys and service times; 1 if not given")
+		f.duration(&duration, "", "duration", "length of each run; 6s if not given")
+		f.uint64(&attempts, "", "attempts", "of a caller; 4 if not given")
+		f.text(&only, "", "only", "part of the names of the experiments to run")
+		return func(e *env) error {
+			for _, s := range bench.Shapes {
+				if s.Name != shape {
+					continue
+				}
+				quiet()
+				ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+				defer stop()
+				return bench.Run(ctx, e.stdout, bench.Config{
+					Shape: s, Loads: bench.DefaultLoads, Duration: duration, Seed: seed, Attempts: int(attempts), Only: only,
+				})
+			}
+			return exitf(exitUsage, "there is no shape %q; give board or cratehaul", shape)
+		}
+	},
+}
