--- a/front/router_test.go
+++ b/front/router_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -358,6 +360,39 @@
 	})
 }
 
+// net/http must not find a read of the body in progress when it ends a request.
+func TestReplayStops(t *testing.T) {
+	src := &gate{entered: make(chan struct{}), open: make(chan struct{})}
+	r := newReplay(src)
+	a := r.rewind()
+	reading, stopped := make(chan struct{}), make(chan bool)
+	go func() { _, _ = a.Read(make([]byte, 8)); close(reading) }()
+	<-src.entered
+	go func() { r.stop(); stopped <- src.left.Load() }()
+	for range 1000 { // lets a stop that does not wait return
+		runtime.Gosched()
+	}
+	close(src.open)
+	require.True(t, <-stopped, "a read was in progress")
+	<-reading
+	_, err := a.Read(make([]byte, 1))
+	require.ErrorIs(t, err, errSuperseded)
+	require.Nil(t, r.rewind())
+}
+
+// gate is a body whose only Read waits.
+type gate struct {
+	entered, open chan struct{}
+	left          atomic.Bool
+}
+
+func (g *gate) Read([]byte) (int, error) {
+	close(g.entered)
+	<-g.open
+	g.left.Store(true)
+	return 0, io.ErrUnexpectedEOF
+}
+
 // A handler that breaks its contract must not make the outcome look proven.
 func TestRouterForeignError(t *testing.T) {
 	x := newRig(2, func(int, *pollenlatch.Request) (*pollenlatch.Response, error) { return nil, errors.New("x") })
