--- a/plan/lost.go
+++ b/plan/lost.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 
 	"pollenlatch"
@@ -45,17 +46,20 @@
 	}
 	lost := r.book.index.owned(r.in.View, r.svc.Name, 0)
 	if len(lost) == 0 {
-		r.book.waved = false
+		r.book.waves = 0
 		return
 	}
 	r.estimate(lost)
 	slices.SortFunc(lost, byRate)
-	wave := !r.book.waved || r.in.Now.Sub(r.book.waveAt) >= waveEvery
+	if r.book.waves == 0 || r.in.Now.Sub(r.book.waveAt) >= waveEvery {
+		r.book.waves++
+		r.book.waveAt = r.in.Now
+	}
 	for _, o := range lost {
-		r.assign(o, wave)
+		r.assign(o)
 	}
-	if wave {
-		r.book.waveAt, r.book.waved = r.in.Now, true
+	if !r.crowded {
+		r.book.waves = 0
 	}
 }
 
@@ -96,7 +100,7 @@
 }
 
 // assign gives one shard without owner to an endpoint, if it may have one now.
-func (r *round) assign(o orphan, wave bool) {
+func (r *round) assign(o orphan) {
 	last, back := r.byID[o.Last]
 	reason := reasonLost
 	switch {
@@ -117,23 +121,19 @@
 	if c == nil {
 		return
 	}
-	if !r.room(c, o.rate, wave) {
+	if !r.room(c, o.rate) {
+		r.crowded = true
 		return
 	}
 	r.place(o, c, reason)
 }
 
 // room reports whether an endpoint may take a lost shard now. Beyond its safe
-// rate it takes the rest in waves, so that survivors of a mass loss warm up
-// and shed instead of failing one after the other.
-func (r *round) room(c *candidate, rate float64, wave bool) bool {
-	if c.limit <= 0 || c.rate+rate <= c.limit {
-		return true
-	}
-	if !wave {
-		return false
-	}
-	return c.rate+rate <= max(c.limit, c.track.load.Rate)*(1+waveShare)
+// rate it takes the rest in growing waves, so that the survivors of a mass
+// loss warm up and shed instead of failing one after the other. An endpoint
+// without a known limit takes all.
+func (r *round) room(c *candidate, rate float64) bool {
+	return c.limit <= 0 || c.rate+rate <= c.limit*math.Pow(waveGrowth, float64(r.book.waves-1))
 }
 
 // waits reports whether the shards of an instance wait for its return.
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -83,7 +83,7 @@
 	balanced bool             // nextAt is set
 	idle     bool             // only balancing can find a move in the same version
 	waveAt   pollenlatch.Mono
-	waved    bool // waveAt is set
+	waves    int  // of lost shards since all had an owner
 	active   bool // balancing has started and not reached its end
 }
 
--- a/plan/round.go
+++ b/plan/round.go
@@ -37,6 +37,7 @@
 	mean    float64 // rate of the mean usable endpoint
 	steady  int     // usable endpoints that are not damped
 	shards  float64 // mean number of shards of a usable endpoint
+	crowded bool    // a lost shard found no room
 	moves   []pollenlatch.Move
 }
 
--- /dev/null
+++ b/plan/rules_test.go
@@ -0,0 +1,276 @@
+package plan_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+	"pollenlatch/plan"
+	"pollenlatch/trial"
+)
+
+// Survivors that get all shards of a mass loss at once fail one after the
+// other; shards that are kept back for ever are lost.
+func TestMassLossComesInWaves(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	var p plan.Planner
+	w := full(t, &p, s, 8)
+	in := pollenlatch.Placement{View: w, Loads: even(8, 100), Now: 100 * second}
+	for id, l := range in.Loads {
+		l.Median = 50 * time.Millisecond // 10 slots: 160 requests a second are safe
+		in.Loads[id] = l
+	}
+	p.Plan(in)
+	for id := range 6 {
+		w.Expire(pollenlatch.InstanceID(id + 3))
+	}
+	left := []int{w.OwnedCount(0, s.Name)}
+	for range 5 {
+		in.Now += second
+		apply(w, p.Plan(in))
+		left = append(left, w.OwnedCount(0, s.Name))
+	}
+	require.Equal(t, 96, left[0])
+	require.InDelta(t, 96-2*9, left[1], 2, "60 requests a second each at first")
+	require.Greater(t, left[2], 0)
+	require.Zero(t, left[5])
+}
+
+// A server that fails again and again must not get its shards back each time.
+func TestFlappingIsDamped(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	var p plan.Planner
+	w := full(t, &p, s, 8)
+	in := pollenlatch.Placement{View: w, Loads: even(8, 100), Now: second}
+	for range 3 {
+		w.Expire(5)
+		in.Now += second
+		apply(w, p.Plan(in))
+		w.Rejoin(5)
+		in.Now += second
+		apply(w, p.Plan(in))
+	}
+	for range 30 {
+		in.Now += second
+		apply(w, p.Plan(in))
+	}
+	require.Zero(t, w.OwnedCount(5, s.Name), "damped")
+	in.Now += 600 * second
+	l := even(8, 100)
+	l[5] = pollenlatch.Load{}
+	in.Loads = l
+	require.NotEmpty(t, p.Plan(in), "steady again")
+}
+
+// hot returns reports in which endpoint 1 is overloaded by one range with a
+// hot key, and that range.
+func hot(s pollenlatch.Service, rangeRate, keyRate float64) (map[pollenlatch.InstanceID]pollenlatch.Load, pollenlatch.Range) {
+	rng := pollenlatch.RangeOf(s.Name, "a", s.Bits)
+	l := even(8, 100)
+	l[1] = pollenlatch.Load{
+		Rate:   300,
+		Ranges: []pollenlatch.RangeLoad{{Service: s.Name, Range: rng, Rate: rangeRate}},
+		Hot:    []pollenlatch.HotKey{{Service: s.Name, Key: "a", Rate: keyRate}},
+	}
+	return l, rng
+}
+
+// A hot key that can only move with its range takes others with it; one that
+// never gives its record back uses them up.
+func TestHotKey(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	setup := func(t *testing.T) (*plan.Planner, *trial.World, pollenlatch.Placement, pollenlatch.Range) {
+		t.Helper()
+		p := &plan.Planner{}
+		w := full(t, p, s, 8)
+		loads, rng := hot(s, 60, 25)
+		w.Assign(pollenlatch.Shard{Service: s.Name, Range: rng}, 1)
+		return p, w, pollenlatch.Placement{View: w, Loads: loads, Now: 100 * second}, rng
+	}
+	t.Run("moves alone", func(t *testing.T) {
+		p, w, in, rng := setup(t)
+		moves := p.Plan(in)
+		require.NotEmpty(t, moves)
+		o, _ := w.OwnerAt(pollenlatch.Shard{Service: s.Name, Range: rng})
+		require.Equal(t, pollenlatch.Shard{Service: s.Name, Range: rng, Key: "a"}, moves[0].Shard)
+		require.Equal(t, o.Fence, moves[0].Fence, "the range is frozen for it")
+		for _, m := range moves[1:] {
+			require.NotEqual(t, rng, m.Range)
+		}
+	})
+	t.Run("goes back", func(t *testing.T) {
+		p, w, in, rng := setup(t)
+		key := pollenlatch.Shard{Service: s.Name, Range: rng, Key: "a"}
+		w.Assign(key, 2)
+		in.Loads = even(8, 100)
+		l := in.Loads[2]
+		l.Hot = []pollenlatch.HotKey{{Service: s.Name, Key: "a", Rate: 25}}
+		in.Loads[2] = l
+		require.Empty(t, p.Plan(in), "still hot")
+		l.Hot = nil
+		in.Loads[2] = l
+		in.Now += 5 * second
+		moves := p.Plan(in)
+		require.Len(t, moves, 1)
+		o, _ := w.OwnerAt(key)
+		require.Equal(t, pollenlatch.Move{
+			Shard: key, From: 2, Fence: o.Fence, Reason: moves[0].Reason, Cost: moves[0].Cost,
+		}, moves[0])
+	})
+}
+
+// Waiting against the weights costs time without service; not waiting costs
+// churn.
+func TestGracefulRestart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		w    pollenlatch.Weights
+		wait int // seconds
+	}{
+		{"churn weighs more", pollenlatch.Weights{Imbalance: 1, Churn: 5, Unavailable: 1}, 2},
+		{"unavailable time weighs more", pollenlatch.Weights{Imbalance: 1, Churn: 1, Unavailable: 5}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := service(c.w)
+			p := plan.New(plan.Settings{Restart: time.Second})
+			w := full(t, p, s, 8)
+			in := pollenlatch.Placement{View: w, Now: 100 * second}
+			p.Plan(in)
+			w.Announce(3, true, true)
+			in.Now += second
+			require.Equal(t, c.wait > 0, len(p.Plan(in)) == 0, "while it drains")
+			w.Expire(3)
+			for range c.wait {
+				in.Now += second
+				require.Empty(t, p.Plan(in))
+			}
+			in.Now += second
+			moves := p.Plan(in)
+			require.Len(t, moves, 16, "then its shards go to others")
+		})
+	}
+}
+
+// One server that reports wrong rates must not move the whole service.
+func TestReportsOfAnotherScale(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	report := func(w *trial.World, factor func(id pollenlatch.InstanceID, n int) float64) map[pollenlatch.InstanceID]pollenlatch.Load {
+		loads := make(map[pollenlatch.InstanceID]pollenlatch.Load)
+		for i := range 8 {
+			id := pollenlatch.InstanceID(i + 1)
+			var l pollenlatch.Load
+			w.Owned(id, s.Name, func(o pollenlatch.Owner) bool {
+				rate := 10 * factor(id, len(l.Ranges))
+				l.Rate += rate
+				l.Ranges = append(l.Ranges, pollenlatch.RangeLoad{Service: s.Name, Range: o.Range, Rate: rate})
+				return true
+			})
+			loads[id] = l
+		}
+		return loads
+	}
+	for _, c := range []struct {
+		name   string
+		factor func(id pollenlatch.InstanceID, n int) float64
+		moves  bool
+	}{
+		{"one lies", func(id pollenlatch.InstanceID, _ int) float64 {
+			if id == 4 {
+				return 5
+			}
+			return 1.01
+		}, false},
+		{"all have more", func(pollenlatch.InstanceID, int) float64 { return 5 }, false},
+		{"some ranges are hot", func(id pollenlatch.InstanceID, n int) float64 {
+			if id == 4 && n%2 == 0 {
+				return 3
+			}
+			return 1.01
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var p plan.Planner
+			w := full(t, &p, s, 8)
+			in := pollenlatch.Placement{View: w, Now: 100 * second}
+			in.Loads = report(w, func(pollenlatch.InstanceID, int) float64 { return 1 })
+			require.Empty(t, p.Plan(in))
+			in.Loads, in.Now = report(w, c.factor), in.Now+second
+			require.Equal(t, c.moves, len(p.Plan(in)) > 0)
+		})
+	}
+}
+
+// plain hides everything of a world but the view.
+type plain struct{ pollenlatch.View }
+
+// An index that misses a change leaves shards without owner or moves shards
+// that are elsewhere: the planner must plan the same with and without it.
+func TestIndexFollowsTheView(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	rnd := rand.New(rand.NewPCG(1, 1))
+	var fast, slow plan.Planner
+	w := trial.NewWorld(s)
+	for range 6 {
+		w.Join("dc", 10)
+	}
+	for i := range 300 {
+		id := pollenlatch.InstanceID(1 + rnd.IntN(6))
+		inst, _ := w.Instance(id)
+		switch {
+		case !inst.Alive():
+			w.Rejoin(id)
+		case rnd.IntN(3) == 0:
+			w.Expire(id)
+		case rnd.IntN(3) == 0:
+			w.Announce(id, rnd.IntN(2) == 0, rnd.IntN(4) == 0)
+		default:
+			w.Assign(pollenlatch.Shard{Service: s.Name, Range: pollenlatch.RangeOf(s.Name, "k", s.Bits), Key: "k"}, id)
+		}
+		in := pollenlatch.Placement{View: w, Loads: even(6, rnd.Float64()*100), Now: pollenlatch.Mono(i) * second}
+		want := slow.Plan(pollenlatch.Placement{View: plain{w}, Loads: in.Loads, Now: in.Now})
+		got := fast.Plan(in)
+		require.Equal(t, want, got, "step %d", i)
+		for _, m := range got {
+			switch {
+			case rnd.IntN(4) == 0: // is lost
+			case m.From != 0 && m.To != 0:
+				w.Freeze(m.Shard, m.To)
+				if rnd.IntN(2) == 0 {
+					w.Assign(m.Shard, m.To)
+				}
+			default:
+				w.Assign(m.Shard, m.To)
+			}
+		}
+	}
+}
+
+// Shards that leave their data centre without need come back at a price, and a
+// data centre that the service may not use must get none.
+func TestDataCentres(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	t.Run("home first", func(t *testing.T) {
+		var p plan.Planner
+		w := full(t, &p, s, 8)
+		w.Expire(3)
+		apply(w, p.Plan(pollenlatch.Placement{View: w, Now: second}))
+		home := w.OwnedCount(7, s.Name)
+		for _, id := range []pollenlatch.InstanceID{1, 2, 4, 5, 6, 8} {
+			n := w.OwnedCount(id, s.Name)
+			require.GreaterOrEqual(t, home, n)
+			require.InDelta(t, home, n, 3, "but not all of them")
+		}
+	})
+	t.Run("not allowed", func(t *testing.T) {
+		s := s
+		s.DCs = []string{"dc0", "dc1"}
+		var p plan.Planner
+		w := full(t, &p, s, 8)
+		for _, id := range []pollenlatch.InstanceID{3, 4, 7, 8} {
+			require.Zero(t, w.OwnedCount(id, s.Name))
+		}
+	})
+}
--- a/plan/scale.go
+++ b/plan/scale.go
@@ -25,6 +25,7 @@
 // compared with the one before.
 func (t *track) report(l pollenlatch.Load, owned int, now pollenlatch.Mono) (c change, ok bool) {
 	if l.Rate == t.load.Rate && len(l.Ranges) == len(t.load.Ranges) {
+		t.load = l
 		return c, false
 	}
 	t.owned = owned
--- a/plan/settings.go
+++ b/plan/settings.go
@@ -78,10 +78,11 @@
 	scaleAfter  = 20 * time.Second
 	scaleHalf   = 10 * time.Minute
 	// safeUse is the utilisation of an endpoint's slots up to which lost
-	// shards are given to it at once; waveShare is the growth per wave beyond.
-	safeUse   = 0.8
-	waveShare = 0.5
-	waveEvery = time.Second
+	// shards are given to it at once. Every second the bound grows by
+	// waveGrowth until all have an owner: 4 times the safe rate in 4 s.
+	safeUse    = 0.8
+	waveGrowth = 1.5
+	waveEvery  = time.Second
 )
 
 func or[T comparable](v, d T) T {
--- a/trial/meter.go
+++ b/trial/meter.go
@@ -8,11 +8,10 @@
 	"pollenlatch"
 )
 
-// Names of the measures. Churn is measured in keys, and in their load.
+// Names of the three measures that a deployment weighs.
 const (
 	Imbalance   = "imbalance"
 	Churn       = "churn"
-	LoadMoved   = "load moved"
 	Unavailable = "unavailable"
 )
 
