Plan for suspect servers, unequal slots and lost hand-over targets

Cause: load reports can say that a server answers badly, servers may differ in slots, and a hand-over to a target that began to leave went on. Change: suspect servers (at most a third) get no shards and shed load within the budget; load is relative to slots; a hand-over is cancelled whenever its target is not usable; giving hot keys back counts against the same bound on hand-overs as balancing. Conclusion: unit tests pass with -race.

--- a/plan/balance.go
+++ b/plan/balance.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"slices"
 
 	"pollenlatch"
@@ -30,14 +31,11 @@
 	start := startExcess(r.w)
 	order := slices.Clone(r.usable)
 	slices.SortFunc(order, func(x, y *candidate) int {
-		if less(y, x) {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(y.pressure(), x.pressure()), cmp.Compare(x.id, y.id))
 	})
-	if order[0].load >= 1+start {
+	if order[0].pressure() >= 1+start {
 		b.active = true
-	} else if order[0].load < 1+start*stopShare {
+	} else if order[0].pressure() < 1+start*stopShare {
 		b.active = false
 	}
 	if !b.active {
@@ -45,16 +43,24 @@
 	}
 	left := r.p.cfg.Batch
 	for _, c := range order {
-		if c.load < 1+start*stopShare || left <= 0 || b.tokens <= 0 {
+		if c.pressure() < 1+start*stopShare || left <= 0 || b.tokens <= 0 {
 			return
 		}
 		left -= r.unload(c, left, start)
 	}
 }
 
+// pressure returns the load by which balancing orders endpoints.
+func (c *candidate) pressure() float64 {
+	if c.suspect {
+		return c.load + suspectLoad
+	}
+	return c.load
+}
+
 // unload moves shards of one endpoint away and returns their number.
 func (r *round) unload(c *candidate, left int, start float64) int {
-	left = min(left, r.p.cfg.Handovers-r.in.Busy[c.id])
+	left = min(left, r.p.cfg.Handovers-c.busy)
 	if left <= 0 || c.unsure {
 		return 0
 	}
@@ -65,14 +71,14 @@
 		if moved[o.Range] {
 			continue
 		}
-		if n == left || r.book.tokens <= 0 || c.load < 1+start*stopShare {
+		if n == left || r.book.tokens <= 0 || c.pressure() < 1+start*stopShare {
 			break
 		}
 		t := r.relief(c, o)
 		if t == nil {
 			continue
 		}
-		excess := c.load - 1
+		excess := c.pressure() - 1
 		x := r.relative(o.rate, 1)
 		gain := r.w.Imbalance * horizon * excess * r.share(o.rate)
 		cost := r.handCost(o.rate)
@@ -86,6 +92,7 @@
 		moved[o.Range] = true
 		r.hand(o, t, reason, gain)
 		r.take(c, o.rate)
+		c.busy++
 		if o.Key != "" {
 			r.book.index.records++ // until the next view counts it
 		}
@@ -139,8 +146,11 @@
 	if t == nil || t == c {
 		return nil
 	}
-	x := r.relative(o.rate, 1)
-	if t.load+x > 1+startExcess(r.w)*stopShare || t.load+x >= c.load {
+	after := t.load + r.relative(o.rate, 1)/t.size
+	if c.suspect && after <= 1+maxStart {
+		return t
+	}
+	if after > 1+startExcess(r.w)*stopShare || after >= c.load {
 		return nil
 	}
 	return t
@@ -179,17 +189,16 @@
 
 func (r *round) cool(c *candidate, keys []pollenlatch.Owner) {
 	e := c.track.shards(r.svc.Name, c.count, r.in.Now)
-	room := r.p.cfg.Handovers - r.in.Busy[c.id]
 	for _, k := range keys {
 		rate := e.byKey[k.Key]
-		if k.Frozen() || room <= 0 || rate >= coolShare*r.p.cfg.Hot*r.mean {
+		if k.Frozen() || c.busy >= r.p.cfg.Handovers || rate >= coolShare*r.p.cfg.Hot*r.mean {
 			continue
 		}
 		home, ok := r.in.View.OwnerAt(pollenlatch.Shard{Service: k.Service, Range: k.Range})
 		if !ok || home.Frozen() || !r.usableID(home.Instance) {
 			continue
 		}
-		room--
+		c.busy++
 		r.moves = append(r.moves, pollenlatch.Move{
 			Shard: k.Shard, From: c.id, Fence: k.Fence, Reason: reasonCool, Cost: r.handCost(rate),
 		})
--- a/plan/lost.go
+++ b/plan/lost.go
@@ -91,7 +91,7 @@
 		r.rate += added
 		r.mean = r.rate / float64(len(r.usable))
 		for _, c := range r.usable {
-			c.load = r.relative(c.rate, c.count)
+			c.load = r.relative(c.rate, c.count) / c.size
 		}
 		for _, h := range r.homes {
 			heap.Init(h)
@@ -176,6 +176,7 @@
 	if len(r.usable) == 0 {
 		return
 	}
+	r.cancelLost()
 	for _, id := range r.leaving {
 		if !r.waits(id) {
 			r.drainOne(id)
@@ -183,6 +184,30 @@
 	}
 }
 
+// cancelLost ends the hand-overs whose targets can't take shards any more.
+func (r *round) cancelLost() {
+	x := &r.book.index
+	var ranges []pollenlatch.Range
+	for n, next := range x.frozen {
+		if !r.usableID(next) {
+			ranges = append(ranges, n)
+		}
+	}
+	slices.Sort(ranges)
+	for _, n := range ranges {
+		if o, ok := r.in.View.OwnerAt(pollenlatch.Shard{Service: r.svc.Name, Range: n}); ok {
+			r.cancel(o)
+		}
+	}
+	for _, id := range x.owners() {
+		for _, o := range x.keys[id] {
+			if o.Frozen() && !r.usableID(o.Next) {
+				r.cancel(o)
+			}
+		}
+	}
+}
+
 func (r *round) drainOne(id pollenlatch.InstanceID) {
 	shards := r.book.index.owned(r.in.View, r.svc.Name, id)
 	if len(shards) == 0 {
@@ -199,11 +224,7 @@
 	slices.SortFunc(shards, byRate)
 	room := r.p.cfg.Drains - r.in.Busy[id]
 	for _, o := range shards {
-		switch {
-		case o.Frozen() && !r.usableID(o.Next) && o.Key == "":
-			r.cancel(o)
-			continue
-		case o.Frozen() || room <= 0:
+		if o.Frozen() || room <= 0 {
 			continue
 		}
 		c := r.target(r.dcOf(id))
@@ -215,8 +236,7 @@
 	}
 }
 
-// cancel ends a hand-over whose target can't take the shard any more.
-func (r *round) cancel(o orphan) {
+func (r *round) cancel(o pollenlatch.Owner) {
 	r.moves = append(r.moves, pollenlatch.Move{
 		Shard: o.Shard, From: o.Instance, To: o.Instance, Fence: o.Fence, Reason: reasonCancel,
 	})
--- a/plan/round.go
+++ b/plan/round.go
@@ -10,15 +10,18 @@
 
 // candidate is an endpoint that may get shards.
 type candidate struct {
-	id     pollenlatch.InstanceID
-	dc     string
-	track  *track
-	count  int     // shards
-	rate   float64 // requests a second
-	load   float64 // relative to the mean endpoint's; 1 is the mean
-	unsure bool    // its reports may not show its latest moves yet
-	limit  float64 // rate up to which lost shards are given to it now
-	index  int     // in its heap
+	id      pollenlatch.InstanceID
+	dc      string
+	track   *track
+	count   int     // shards
+	rate    float64 // requests a second
+	load    float64 // relative to the mean endpoint's; 1 is the mean
+	unsure  bool    // its reports may not show its latest moves yet
+	limit   float64 // rate up to which lost shards are given to it now
+	index   int     // in its heap
+	size    float64 // slots relative to the mean endpoint's
+	busy    int     // hand-overs in progress, with those of this plan
+	suspect bool    // answers badly
 }
 
 // round is the planning of one service at one moment.
@@ -35,7 +38,7 @@
 	dcs     []string
 	rate    float64 // of the whole service
 	mean    float64 // rate of the mean usable endpoint
-	steady  int     // usable endpoints that are not damped
+	steady  int     // usable endpoints that are fit for new shards
 	shards  float64 // mean number of shards of a usable endpoint
 	crowded bool    // a lost shard found no room
 	moves   []pollenlatch.Move
@@ -95,6 +98,9 @@
 	}
 	c := &candidate{id: i.ID, dc: i.DC, track: t, rate: t.rate(r.in.Now)}
 	c.unsure = len(t.pending) > 0
+	c.size = float64(max(i.Endpoint.Slots, 1))
+	c.busy = r.in.Busy[i.ID]
+	c.suspect = t.load.Suspect
 	c.count = owned + r.book.index.inbound[i.ID]
 	if l := t.load; l.Median > 0 && i.Endpoint.Slots > 0 {
 		c.limit = safeUse * float64(i.Endpoint.Slots) / l.Median.Seconds()
@@ -134,9 +140,18 @@
 		return
 	}
 	n := float64(len(r.usable))
+	slots, suspects := 0.0, 0
 	for _, c := range r.usable {
 		r.rate += c.rate
-		if c.track.flaps(r.in.Now) < flapLimit {
+		slots += c.size
+		if c.suspect {
+			suspects++
+		}
+	}
+	for _, c := range r.usable {
+		c.size = c.size * n / slots
+		c.suspect = c.suspect && float64(suspects) <= n*maxSuspects
+		if !r.unfit(c) {
 			r.steady++
 		}
 	}
@@ -149,7 +164,7 @@
 	r.shards = max(float64(r.svc.Ranges())/n, 1)
 	r.homes = make(map[string]*minHeap)
 	for _, c := range r.usable {
-		c.load = r.relative(c.rate, c.count)
+		c.load = r.relative(c.rate, c.count) / c.size
 		if r.damped(c) {
 			continue
 		}
@@ -177,12 +192,14 @@
 	return (1-countShare)*rate/r.mean + countShare*byCount
 }
 
-// damped reports whether an endpoint failed too often lately to get shards
-// while others are usable.
-func (r *round) damped(c *candidate) bool {
-	return r.steady > 0 && c.track.flaps(r.in.Now) >= flapLimit
+// unfit reports whether an endpoint failed too often lately, or answers badly.
+func (r *round) unfit(c *candidate) bool {
+	return c.suspect || c.track.flaps(r.in.Now) >= flapLimit
 }
 
+// damped reports whether an endpoint gets no shards because others are fitter.
+func (r *round) damped(c *candidate) bool { return r.steady > 0 && r.unfit(c) }
+
 // target returns the best endpoint for a shard whose last owner was in a data
 // centre, without the excluded one; nil when there is none.
 func (r *round) target(dc string) *candidate {
@@ -202,7 +219,7 @@
 func (r *round) give(c *candidate, rate float64) {
 	c.count++
 	c.rate += rate
-	c.load = r.relative(c.rate, c.count)
+	c.load = r.relative(c.rate, c.count) / c.size
 	c.track.adjust(r.in.Now.Add(r.p.cfg.Lag), rate)
 	if h, ok := r.homes[c.dc]; ok && c.index < len(*h) && (*h)[c.index] == c {
 		heap.Fix(h, c.index)
@@ -213,7 +230,7 @@
 func (r *round) take(c *candidate, rate float64) {
 	c.count--
 	c.rate = max(c.rate-rate, 0)
-	c.load = r.relative(c.rate, c.count)
+	c.load = r.relative(c.rate, c.count) / c.size
 	c.track.adjust(r.in.Now.Add(r.p.cfg.Lag), -rate)
 	if h, ok := r.homes[c.dc]; ok && c.index < len(*h) && (*h)[c.index] == c {
 		heap.Fix(h, c.index)
--- a/plan/rules_test.go
+++ b/plan/rules_test.go
@@ -274,3 +274,49 @@
 		}
 	})
 }
+
+// A target that answers badly or can't take more makes things worse.
+func TestTargets(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	t.Run("suspect server sheds", func(t *testing.T) {
+		p := plan.New(plan.Settings{Handovers: 3})
+		w := full(t, p, s, 8)
+		in := pollenlatch.Placement{View: w, Loads: even(8, 100), Now: 100 * second}
+		in.Loads[2] = pollenlatch.Load{Rate: 100, Suspect: true}
+		moves := p.Plan(in)
+		require.Len(t, moves, 3)
+		for _, m := range moves {
+			require.Equal(t, pollenlatch.InstanceID(2), m.From)
+		}
+	})
+	t.Run("half of the servers are suspect", func(t *testing.T) {
+		var p plan.Planner
+		w := full(t, &p, s, 8)
+		in := pollenlatch.Placement{View: w, Loads: even(8, 100), Now: 100 * second}
+		for id := range 4 {
+			in.Loads[pollenlatch.InstanceID(id+1)] = pollenlatch.Load{Rate: 100, Suspect: true}
+		}
+		require.Empty(t, p.Plan(in))
+	})
+	t.Run("more slots take more", func(t *testing.T) {
+		var p plan.Planner
+		w := trial.NewWorld(s)
+		for _, slots := range []uint32{10, 10, 20} {
+			w.Join("dc", slots)
+		}
+		apply(w, p.Plan(pollenlatch.Placement{View: w}))
+		require.InDelta(t, 64, w.OwnedCount(3, s.Name), 1)
+	})
+	t.Run("target of a hand-over drains", func(t *testing.T) {
+		var p plan.Planner
+		w := full(t, &p, s, 8)
+		shard := pollenlatch.Shard{Service: s.Name, Range: 5}
+		o, _ := w.OwnerAt(shard)
+		to := o.Instance%8 + 1
+		w.Freeze(shard, to)
+		w.Announce(to, true, true)
+		moves := p.Plan(pollenlatch.Placement{View: w, Now: 100 * second})
+		require.Equal(t, shard, moves[0].Shard)
+		require.Equal(t, moves[0].From, moves[0].To, "cancelled")
+	})
+}
--- a/plan/settings.go
+++ b/plan/settings.go
@@ -55,6 +55,11 @@
 	// other endpoints are usable.
 	flapHalf  = 60 * time.Second
 	flapLimit = 1.5
+	// maxSuspects is the share of endpoints that may be kept from new shards
+	// because they answer badly; more is not the endpoints' fault.
+	// suspectLoad is what such an endpoint seems to have on top of its load.
+	maxSuspects = 1.0 / 3
+	suspectLoad = 0.5
 	// handover is the time for which a planned move makes a shard wait.
 	handover = 30 * time.Millisecond
 	// away is the number of moves that waiting for a restarted owner saves:
