Let a peer follow a daemon's burn counts

Cause: a daemon without a folder keeps its counts at its peers, and reports overlap in the minute that goes on. Change: Follow replaces minutes, Restore adds them. Figures: reports of the newest minutes stay under 200 bytes (TestFollow). Conclusion: unit tests pass with -race.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -160,6 +160,28 @@
 	require.Less(t, len(c.series), maxSeries, "unused series are dropped")
 }
 
+// A peer that adds a minute twice, or loses one, shows another budget than the
+// daemon itself.
+func TestFollow(t *testing.T) {
+	c, now := counter("a")
+	peer, at := counter("a")
+	after := int64(0)
+	for i := range 200 {
+		record(c, i, pollenlatch.Ran, "", 0)
+		*now = now.Add(25 * time.Second)
+		*at = *now
+		r := c.Report(after)
+		after = r.Minute - 1 // the last minute goes on
+		b, err := r.Encode()
+		require.NoError(t, err)
+		require.Less(t, len(b), 200)
+		back, err := Decode(b)
+		require.NoError(t, err)
+		require.NoError(t, peer.Follow(back))
+	}
+	require.Equal(t, c.Report(0), peer.Report(0))
+}
+
 // A report that is damaged or lies about its size must not reach the counts.
 func TestDecodeRefuses(t *testing.T) {
 	for _, c := range []struct {
--- a/burn/report.go
+++ b/burn/report.go
@@ -87,7 +87,14 @@
 
 // Restore adds a report to the counter, for instance of the same daemon before
 // it restarted. Minutes that are older than 3 days are left out.
-func (c *Counter) Restore(r *Report) error {
+func (c *Counter) Restore(r *Report) error { return c.take(r, false) }
+
+// Follow takes a newer report of the same daemon, whose minutes replace those
+// that the counter has. It keeps a copy of a peer's counts up to date from
+// reports that overlap.
+func (c *Counter) Follow(r *Report) error { return c.take(r, true) }
+
+func (c *Counter) take(r *Report, replace bool) error {
 	if err := r.Check(); err != nil {
 		return err
 	}
@@ -99,6 +106,9 @@
 			continue
 		}
 		b := c.bucket(m.Minute)
+		if replace {
+			b.cells = nil
+		}
 		for _, x := range m.Cells {
 			b.add(c, r.Series[x.Series], x.N, x.Slow)
 		}
