Don't balance what chance explains, or before the load is known

Cause: at a few requests a second the rates of two servers differ by chance alone, and a new leader has no load reports for its first seconds. Change: the excess that starts balancing is at least three standard deviations of a rate; below 2 requests a second only shards are counted; a new leader waits 5 s before it balances. Conclusion: unit tests pass with -race.

--- a/plan/balance.go
+++ b/plan/balance.go
@@ -19,16 +19,16 @@
 // balance moves shards from loaded endpoints to others, within the budget.
 func (r *round) balance() {
 	b := r.book
-	if len(r.usable) == 0 || (b.balanced && r.in.Now < b.nextAt) {
+	if len(r.usable) == 0 || r.in.Now < b.nextAt {
 		return
 	}
-	b.nextAt, b.balanced = r.in.Now.Add(r.p.cfg.Every), true
+	b.nextAt = r.in.Now.Add(r.p.cfg.Every)
 	b.refill(r.in.Now, r.p.cfg.Budget)
 	r.returnCool()
 	if len(r.usable) < 2 {
 		return
 	}
-	start := startExcess(r.w)
+	start := r.start
 	order := slices.Clone(r.usable)
 	slices.SortFunc(order, func(x, y *candidate) int {
 		return cmp.Or(cmp.Compare(y.pressure(), x.pressure()), cmp.Compare(x.id, y.id))
@@ -150,7 +150,7 @@
 	if c.suspect && after <= 1+maxStart {
 		return t
 	}
-	if after > 1+startExcess(r.w)*stopShare || after >= c.load {
+	if after > 1+r.start*stopShare || after >= c.load {
 		return nil
 	}
 	return t
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -58,7 +58,7 @@
 func (p *Planner) service(in pollenlatch.Placement, s pollenlatch.Service) []pollenlatch.Move {
 	b := p.books[s.Name]
 	if b == nil {
-		b = &book{tokens: p.cfg.Budget, tokensAt: in.Now, restart: p.cfg.Restart}
+		b = &book{tokens: p.cfg.Budget, tokensAt: in.Now, restart: p.cfg.Restart, nextAt: in.Now.Add(quietAfter)}
 		p.books[s.Name] = b
 	}
 	if !b.index.follow(in.View, s) && b.idle && in.Now < b.nextAt {
@@ -80,7 +80,6 @@
 	tokens   float64                  // share of load that balancing may move now
 	tokensAt pollenlatch.Mono
 	nextAt   pollenlatch.Mono // of balancing
-	balanced bool             // nextAt is set
 	idle     bool             // only balancing can find a move in the same version
 	waveAt   pollenlatch.Mono
 	waves    int  // of lost shards since all had an owner
--- a/plan/round.go
+++ b/plan/round.go
@@ -37,6 +37,7 @@
 	homes   map[string]*minHeap      // by data centre
 	dcs     []string
 	rate    float64 // of the whole service
+	start   float64 // excess over the mean that starts balancing
 	mean    float64 // rate of the mean usable endpoint
 	steady  int     // usable endpoints that are fit for new shards
 	shards  float64 // mean number of shards of a usable endpoint
@@ -161,6 +162,7 @@
 		}
 	}
 	r.mean = r.rate / n
+	r.start = noisyStart(r.w, r.mean)
 	r.shards = max(float64(r.svc.Ranges())/n, 1)
 	r.homes = make(map[string]*minHeap)
 	for _, c := range r.usable {
@@ -186,7 +188,7 @@
 // relative returns a load relative to the mean endpoint's.
 func (r *round) relative(rate float64, count int) float64 {
 	byCount := float64(count) / r.shards
-	if r.mean <= 0 {
+	if r.mean < quietRate {
 		return byCount
 	}
 	return (1-countShare)*rate/r.mean + countShare*byCount
--- a/plan/rules_test.go
+++ b/plan/rules_test.go
@@ -320,3 +320,31 @@
 		require.Equal(t, moves[0].From, moves[0].To, "cancelled")
 	})
 }
+
+// A planner that takes chance for load, or plans before the load is known,
+// moves shards for nothing.
+func TestNoBalanceWithoutKnowledge(t *testing.T) {
+	s := service(pollenlatch.Weights{})
+	for _, c := range []struct {
+		name  string
+		rate  float64 // requests a second of all endpoints but the first
+		first float64
+		moves bool
+	}{{"chance", 10, 13, false}, {"hardly any load", 0.1, 1, false}, {"load", 1000, 1300, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			var p plan.Planner
+			w := full(t, &p, s, 8)
+			l := even(8, c.rate)
+			l[1] = pollenlatch.Load{Rate: c.first}
+			require.Equal(t, c.moves, len(p.Plan(pollenlatch.Placement{View: w, Loads: l, Now: 100 * second})) > 0)
+		})
+	}
+	t.Run("new leader", func(t *testing.T) {
+		var old, p plan.Planner
+		w := full(t, &old, s, 8)
+		in := pollenlatch.Placement{View: w, Loads: map[pollenlatch.InstanceID]pollenlatch.Load{1: {Rate: 1000}}, Now: second}
+		require.Empty(t, p.Plan(in), "only one endpoint has reported")
+		in.Loads, in.Now = even(8, 1000), 7*second
+		require.Empty(t, p.Plan(in))
+	})
+}
--- a/plan/settings.go
+++ b/plan/settings.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"time"
 
 	"pollenlatch"
@@ -47,6 +48,17 @@
 	minStart  = 0.05
 	maxStart  = 0.25
 	stopShare = 0.6
+	// Below quietRate requests a second for the mean endpoint a rate says
+	// nothing and only the shards are counted, with quietStart as the excess.
+	// Above it an excess counts from noiseSigmas standard deviations of a rate
+	// that is averaged over the noiseSeconds of package sketch (5 s decay).
+	quietRate    = 2
+	quietStart   = 0.5
+	noiseSigmas  = 3
+	noiseSeconds = 10
+	// quietAfter is the time after a new leader's first plan in which it
+	// doesn't balance, because not all endpoints have reported their load.
+	quietAfter = 5 * time.Second
 	// homeSlack is how much more load, relative to the mean, a target in the
 	// shard's data centre may have than the best target elsewhere.
 	homeSlack = 0.10
@@ -131,6 +143,16 @@
 	return min(max(w.Churn/(w.Imbalance*horizon), minStart), maxStart)
 }
 
+// noisyStart returns the excess that starts balancing at a mean rate in
+// requests a second: not less than what chance explains.
+func noisyStart(w pollenlatch.Weights, mean float64) float64 {
+	if mean < quietRate {
+		return quietStart
+	}
+	noise := noiseSigmas / math.Sqrt(noiseSeconds*mean)
+	return min(max(startExcess(w), noise), quietStart)
+}
+
 // settle returns how long balancing leaves a new endpoint alone. In a rolling
 // restart the next endpoint's shards then go to it, and each moves once.
 func (s Settings) settle(w pollenlatch.Weights) time.Duration {
