--- a/plan/lost.go
+++ b/plan/lost.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 
 	"pollenlatch"
@@ -45,17 +46,20 @@
 	}
 	lost := r.book.index.owned(r.in.View, r.svc.Name, 0)
 	if len(lost) == 0 {
-		r.book.waved = false
+		r.book.waves = 0
 		return
 	}
 	r.estimate(lost)
 	slices.SortFunc(lost, byRate)
-	wave := !r.book.waved || r.in.Now.Sub(r.book.waveAt) >= waveEvery
+	if r.book.waves == 0 || r.in.Now.Sub(r.book.waveAt) >= waveEvery {
+		r.book.waves++
+		r.book.waveAt = r.in.Now
+	}
 	for _, o := range lost {
-		r.assign(o, wave)
+		r.assign(o)
 	}
-	if wave {
-		r.book.waveAt, r.book.waved = r.in.Now, true
+	if !r.crowded {
+		r.book.waves = 0
 	}
 }
 
@@ -87,7 +91,7 @@
 		r.rate += added
 		r.mean = r.rate / float64(len(r.usable))
 		for _, c := range r.usable {
-			c.load = r.relative(c.rate, c.count)
+			c.load = r.relative(c.rate, c.count) / c.size
 		}
 		for _, h := range r.homes {
 			heap.Init(h)
@@ -96,7 +100,7 @@
 }
 
 // assign gives one shard without owner to an endpoint, if it may have one now.
-func (r *round) assign(o orphan, wave bool) {
+func (r *round) assign(o orphan) {
 	last, back := r.byID[o.Last]
 	reason := reasonLost
 	switch {
@@ -117,23 +121,19 @@
 	if c == nil {
 		return
 	}
-	if !r.room(c, o.rate, wave) {
+	if !r.room(c, o.rate) {
+		r.crowded = true
 		return
 	}
 	r.place(o, c, reason)
 }
 
 // room reports whether an endpoint may take a lost shard now. Beyond its safe
-// rate it takes the rest in waves, so that survivors of a mass loss warm up
-// and shed instead of failing one after the other.
-func (r *round) room(c *candidate, rate float64, wave bool) bool {
-	if c.limit <= 0 || c.rate+rate <= c.limit {
-		return true
-	}
-	if !wave {
-		return false
-	}
-	return c.rate+rate <= max(c.limit, c.track.load.Rate)*(1+waveShare)
+// rate it takes the rest in growing waves, so that the survivors of a mass
+// loss warm up and shed instead of failing one after the other. An endpoint
+// without a known limit takes all.
+func (r *round) room(c *candidate, rate float64) bool {
+	return c.limit <= 0 || c.rate+rate <= c.limit*math.Pow(waveGrowth, float64(r.book.waves-1))
 }
 
 // waits reports whether the shards of an instance wait for its return.
@@ -176,6 +176,7 @@
 	if len(r.usable) == 0 {
 		return
 	}
+	r.cancelLost()
 	for _, id := range r.leaving {
 		if !r.waits(id) {
 			r.drainOne(id)
@@ -183,6 +184,30 @@
 	}
 }
 
+// cancelLost ends the hand-overs whose targets can't take shards any more.
+func (r *round) cancelLost() {
+	x := &r.book.index
+	var ranges []pollenlatch.Range
+	for n, next := range x.frozen {
+		if !r.usableID(next) {
+			ranges = append(ranges, n)
+		}
+	}
+	slices.Sort(ranges)
+	for _, n := range ranges {
+		if o, ok := r.in.View.OwnerAt(pollenlatch.Shard{Service: r.svc.Name, Range: n}); ok {
+			r.cancel(o)
+		}
+	}
+	for _, id := range x.owners() {
+		for _, o := range x.keys[id] {
+			if o.Frozen() && !r.usableID(o.Next) {
+				r.cancel(o)
+			}
+		}
+	}
+}
+
 func (r *round) drainOne(id pollenlatch.InstanceID) {
 	shards := r.book.index.owned(r.in.View, r.svc.Name, id)
 	if len(shards) == 0 {
@@ -199,11 +224,7 @@
 	slices.SortFunc(shards, byRate)
 	room := r.p.cfg.Drains - r.in.Busy[id]
 	for _, o := range shards {
-		switch {
-		case o.Frozen() && !r.usableID(o.Next) && o.Key == "":
-			r.cancel(o)
-			continue
-		case o.Frozen() || room <= 0:
+		if o.Frozen() || room <= 0 {
 			continue
 		}
 		c := r.target(r.dcOf(id))
@@ -215,8 +236,7 @@
 	}
 }
 
-// cancel ends a hand-over whose target can't take the shard any more.
-func (r *round) cancel(o orphan) {
+func (r *round) cancel(o pollenlatch.Owner) {
 	r.moves = append(r.moves, pollenlatch.Move{
 		Shard: o.Shard, From: o.Instance, To: o.Instance, Fence: o.Fence, Reason: reasonCancel,
 	})
--- a/plan/settings.go
+++ b/plan/settings.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"time"
 
 	"pollenlatch"
@@ -47,6 +48,17 @@
 	minStart  = 0.05
 	maxStart  = 0.25
 	stopShare = 0.6
+	// Below quietRate requests a second for the mean endpoint a rate says
+	// nothing and only the shards are counted, with quietStart as the excess.
+	// Above it an excess counts from noiseSigmas standard deviations of a rate
+	// that is averaged over the noiseSeconds of package sketch (5 s decay).
+	quietRate    = 2
+	quietStart   = 0.5
+	noiseSigmas  = 3
+	noiseSeconds = 10
+	// quietAfter is the time after a new leader's first plan in which it
+	// doesn't balance, because not all endpoints have reported their load.
+	quietAfter = 5 * time.Second
 	// homeSlack is how much more load, relative to the mean, a target in the
 	// shard's data centre may have than the best target elsewhere.
 	homeSlack = 0.10
@@ -55,6 +67,11 @@
 	// other endpoints are usable.
 	flapHalf  = 60 * time.Second
 	flapLimit = 1.5
+	// maxSuspects is the share of endpoints that may be kept from new shards
+	// because they answer badly; more is not the endpoints' fault.
+	// suspectLoad is what such an endpoint seems to have on top of its load.
+	maxSuspects = 1.0 / 3
+	suspectLoad = 0.5
 	// handover is the time for which a planned move makes a shard wait.
 	handover = 30 * time.Millisecond
 	// away is the number of moves that waiting for a restarted owner saves:
@@ -78,10 +95,11 @@
 	scaleAfter  = 20 * time.Second
 	scaleHalf   = 10 * time.Minute
 	// safeUse is the utilisation of an endpoint's slots up to which lost
-	// shards are given to it at once; waveShare is the growth per wave beyond.
-	safeUse   = 0.8
-	waveShare = 0.5
-	waveEvery = time.Second
+	// shards are given to it at once. Every second the bound grows by
+	// waveGrowth until all have an owner: 4 times the safe rate in 4 s.
+	safeUse    = 0.8
+	waveGrowth = 1.5
+	waveEvery  = time.Second
 )
 
 func or[T comparable](v, d T) T {
@@ -125,6 +143,16 @@
 	return min(max(w.Churn/(w.Imbalance*horizon), minStart), maxStart)
 }
 
+// noisyStart returns the excess that starts balancing at a mean rate in
+// requests a second: not less than what chance explains.
+func noisyStart(w pollenlatch.Weights, mean float64) float64 {
+	if mean < quietRate {
+		return quietStart
+	}
+	noise := noiseSigmas / math.Sqrt(noiseSeconds*mean)
+	return min(max(startExcess(w), noise), quietStart)
+}
+
 // settle returns how long balancing leaves a new endpoint alone. In a rolling
 // restart the next endpoint's shards then go to it, and each moves once.
 func (s Settings) settle(w pollenlatch.Weights) time.Duration {
