script: run scenarios against real processes

Faults between processes were tested only inside one process. Package script runs the program itself and sample endpoint servers as processes, each instance on a loopback address of its own, and lets scenarios disturb them. Connections between daemons pass through a network of the test, which can hold back what a cut connection carries.

Changes elsewhere: cmd.Serve takes changes of the daemon's configuration, daemon.Config has Dial, and sample.Ledger calls Began before each run, so that the record of a killed server's runs remains.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -21,7 +21,7 @@
 	setup: func(f *flags) func(*env) error {
 		file := defaultSettings
 		f.text(&file, "c", "config", "settings file; "+defaultSettings+" if not given")
-		return func(*env) error { return serve(file) }
+		return func(*env) error { return Serve(file) }
 	},
 }
 
@@ -46,9 +46,10 @@
 // defaultSettings is the settings file that serve and init read.
 const defaultSettings = "/etc/pollenlatch/settings.yaml"
 
-// serve runs one process until SIGTERM or SIGINT, which end it gracefully. A
-// second signal ends it at once.
-func serve(file string) error {
+// Serve runs one process with a settings file until SIGTERM or SIGINT, which end
+// it gracefully. A second signal ends it at once. Each change is applied to
+// what the settings say, for instance to dial through a network under test.
+func Serve(file string, changes ...func(*daemon.Config)) error {
 	s, err := conf.Load(file)
 	if err != nil {
 		return err
@@ -57,6 +58,9 @@
 	if err != nil {
 		return err
 	}
+	for _, change := range changes {
+		change(&cfg)
+	}
 	d, err := daemon.New(cfg)
 	if err != nil {
 		return err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,8 @@
 	Drain  time.Duration // longest time for requests in flight at the end; 0 is DefaultDrain
 
 	Sessions int // most sessions to other daemons; 0 is the link's default
+	// Dial opens connections to other daemons; nil dials TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // exchanger is a function that is a pollenlatch.Exchanger.
@@ -145,7 +147,7 @@
 	})
 	node, err := link.New(link.Config{
 		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.life, Key: d.cfg.Key,
-		Control: d.receive, Requests: d.serve, Sessions: d.cfg.Sessions,
+		Control: d.receive, Requests: d.serve, Sessions: d.cfg.Sessions, Dial: d.cfg.Dial,
 	})
 	if err != nil {
 		return err
--- a/sample/ledger.go
+++ b/sample/ledger.go
@@ -24,6 +24,10 @@
 // Ledger records every run of every request. Servers may share one, so that
 // runs of one request at two servers are seen. The zero value is ready to use.
 type Ledger struct {
+	// Began is called before each run, when set, so that a record of the runs
+	// can outlive a killed process.
+	Began func(r Run)
+
 	mu      sync.Mutex
 	runs    []Run
 	byID    map[string][]int
@@ -31,6 +35,9 @@
 }
 
 func (l *Ledger) begin(r Run) int {
+	if l.Began != nil {
+		l.Began(r)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.runs) >= maxRuns {
--- /dev/null
+++ b/script/expect.go
@@ -0,0 +1,311 @@
+package script
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"pollenlatch/admin"
+)
+
+// operator asks the administration API. A connection for each request keeps a
+// paused process from holding up later ones.
+var operator = http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+
+func (i *Instance) get(path string, v any) error {
+	resp, err := operator.Get("http://" + i.addr(adminPort) + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s of %s: status %d", path, i.Name, resp.StatusCode)
+	}
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// condition reports whether a condition holds now, and what is seen if not.
+type condition func(w *world, args []string) (ok bool, seen string)
+
+// conditions of the command expect, with their numbers of arguments.
+var conditions = map[string]struct {
+	args  string
+	holds condition
+}{
+	"serving":  {"NAME", serving},
+	"leader":   {"NAME", leader},
+	"owned":    {"NAME SERVICE", owned},
+	"owner":    {"NAME SERVICE KEY OWNER", owner},
+	"usable":   {"NAME SERVICE NUMBER", usable},
+	"lost":     {"NAME NUMBER", lost},
+	"voters":   {"NAME NAMES", voters},
+	"next":     {"NAME NUMBER", next},
+	"told":     {"OUTCOME MORE", told},
+	"runs":     {"ID NUMBER", runs},
+	"running":  {"NAME NUMBER", running},
+	"exited":   {"NAME", exited},
+	"answered": {"NAME", answered},
+}
+
+// expect waits until a condition holds, or with ! until it does not hold.
+func expect(ts *testscript.TestScript, neg bool, args []string) {
+	w := of(ts)
+	if len(args) == 0 {
+		ts.Fatalf("usage: expect CONDITION ARGUMENTS")
+	}
+	c, ok := conditions[args[0]]
+	if !ok {
+		ts.Fatalf("there is no condition %q", args[0])
+	}
+	if len(args)-1 != len(strings.Fields(c.args)) {
+		ts.Fatalf("usage: expect %s %s", args[0], c.args)
+	}
+	for end := time.Now().Add(hangLimit); ; time.Sleep(pollInterval) {
+		holds, seen := c.holds(w, args[1:])
+		if holds != neg {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("still not after %v: %s; seen: %s\n%s", hangLimit, strings.Join(args, " "), seen, w.logs())
+		}
+	}
+}
+
+// status asks an instance for its status.
+func (w *world) status(name string) (s admin.Status, err error) {
+	i, err := w.d.Find(name)
+	if err != nil {
+		return s, err
+	}
+	return s, i.get("/v1/status", &s)
+}
+
+func serving(w *world, a []string) (bool, string) {
+	s, err := w.status(a[0])
+	return err == nil && s.Process.Serving, fmt.Sprint(s.Process, err)
+}
+
+func answered(w *world, a []string) (bool, string) {
+	_, err := w.status(a[0])
+	return err == nil, fmt.Sprint(err)
+}
+
+// leader holds when the instance knows a leader. It remembers it as $LEADER.
+func leader(w *world, a []string) (bool, string) {
+	s, err := w.status(a[0])
+	return err == nil && s.Process.Leader != "", fmt.Sprint(s.Process, err)
+}
+
+func (w *world) service(name, service string) (admin.ServiceStatus, error) {
+	s, err := w.status(name)
+	if err != nil {
+		return admin.ServiceStatus{}, err
+	}
+	for _, x := range s.Services {
+		if x.Name == service {
+			return x, nil
+		}
+	}
+	return admin.ServiceStatus{}, errors.New("no such service")
+}
+
+// owned holds when every shard of a service has an owner and none moves.
+func owned(w *world, a []string) (bool, string) {
+	x, err := w.service(a[0], a[1])
+	return err == nil && x.Ranges > 0 && x.Unowned == 0 && x.Moving == 0, fmt.Sprintf("%+v %v", x, err)
+}
+
+func usable(w *world, a []string) (bool, string) {
+	x, err := w.service(a[0], a[1])
+	return err == nil && strconv.Itoa(x.Usable) == a[2], fmt.Sprintf("%+v %v", x, err)
+}
+
+func owner(w *world, a []string) (bool, string) {
+	i, err := w.d.Find(a[0])
+	if err != nil {
+		return false, err.Error()
+	}
+	var o admin.Owner
+	err = i.get("/v1/owner?"+url.Values{"service": {a[1]}, "key": {a[2]}}.Encode(), &o)
+	return err == nil && o.Instance != nil && o.Instance.Name == a[3], fmt.Sprintf("%+v %v", o, err)
+}
+
+func lost(w *world, a []string) (bool, string) {
+	s, err := w.status(a[0])
+	return err == nil && strconv.Itoa(s.Lost) == a[1], fmt.Sprintf("%d lost, %v", s.Lost, err)
+}
+
+func next(w *world, a []string) (bool, string) {
+	s, err := w.status(a[0])
+	return err == nil && strconv.FormatUint(s.Next, 10) == a[1], fmt.Sprintf("next ticket %d, %v", s.Next, err)
+}
+
+func voters(w *world, a []string) (bool, string) {
+	s, err := w.status(a[0])
+	var names []string
+	for _, v := range s.Voters {
+		names = append(names, v.Name)
+	}
+	slices.Sort(names)
+	return err == nil && strings.Join(names, ",") == a[1], fmt.Sprint(names, err)
+}
+
+// told holds when more requests than so far have the outcome: MORE counts from
+// the first look of this condition.
+func told(w *world, a []string) (bool, string) {
+	more, err := strconv.Atoi(a[1])
+	if err != nil {
+		return false, err.Error()
+	}
+	mark := "told " + a[0] + " " + a[1]
+	n := uint64(w.caller.Told(a[0]))
+	begin, ok := w.marks[mark]
+	if !ok {
+		w.marks[mark], begin = n, n
+	}
+	if n < begin+uint64(more) {
+		return false, fmt.Sprintf("%d requests", n-begin)
+	}
+	delete(w.marks, mark)
+	return true, ""
+}
+
+// runs holds when a request has run so often, at all servers together.
+func runs(w *world, a []string) (bool, string) {
+	all, err := w.d.Runs()
+	n := 0
+	for _, r := range all {
+		if r.ID == a[0] {
+			n++
+		}
+	}
+	return err == nil && strconv.Itoa(n) == a[1], fmt.Sprintf("%d runs, %v", n, err)
+}
+
+// running holds when so many requests are in flight at the server.
+func running(w *world, a []string) (bool, string) {
+	s, err := w.status(a[0])
+	return err == nil && fmt.Sprint(s.Process.InFlight) == a[1], fmt.Sprint(s.Process.InFlight, err)
+}
+
+func exited(w *world, a []string) (bool, string) {
+	i, err := w.d.Find(a[0])
+	return err == nil && !i.daemon.runs(), fmt.Sprint(err)
+}
+
+// ticketCommand sends a ticket and compares the answer: ticket FROM FILE OUTCOME.
+// Outcomes are accepted (and in force everywhere), refused, and lost, when the
+// answer is not read. Until it is decided it is sent again.
+func ticketCommand(ts *testscript.TestScript, neg bool, args []string) {
+	w := of(ts)
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: ticket FROM FILE accepted|refused|lost")
+	}
+	i, err := w.d.Find(args[0])
+	if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	text, err := os.ReadFile(ts.MkAbs(args[1]))
+	if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	text = w.expand(text)
+	if args[2] == "lost" {
+		if err := i.sendAndLeave(text); err != nil {
+			ts.Fatalf("%v", err)
+		}
+		return
+	}
+	d, status, err := i.apply(text)
+	if err != nil {
+		ts.Fatalf("%v\n%s", err, w.logs())
+	}
+	got := "refused"
+	if d.Verdict.Accepted && d.InForce {
+		got = "accepted"
+	}
+	ts.Logf("ticket %d: status %d, %+v", d.Verdict.Number, status, d)
+	if got != args[2] {
+		ts.Fatalf("ticket is %s with status %d, not %s: %+v\n%s", got, status, args[2], d, w.logs())
+	}
+}
+
+// expand puts the link address of instance X and the incarnation of its data
+// folder in place of $X_ADDR and $X_INCARNATION, with - in a name as _.
+func (w *world) expand(text []byte) []byte {
+	return []byte(os.Expand(string(text), func(v string) string {
+		for _, i := range w.d.instances {
+			switch name := strings.ReplaceAll(i.Name, "-", "_"); v {
+			case name + "_ADDR":
+				return i.addr(linkPort)
+			case name + "_INCARNATION":
+				return strconv.FormatUint(i.incarnation, 10)
+			}
+		}
+		return "$" + v
+	}))
+}
+
+// apply sends a ticket until it is decided.
+func (i *Instance) apply(text []byte) (d admin.Decision, status int, err error) {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangLimit}
+	for end := time.Now().Add(hangLimit); ; time.Sleep(pollInterval) {
+		var resp *http.Response
+		resp, err = client.Post("http://"+i.addr(adminPort)+"/v1/tickets?wait=in-force&timeout=30s", "application/yaml", bytes.NewReader(text))
+		if err == nil {
+			status = resp.StatusCode
+			b, rerr := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if rerr == nil && status != http.StatusServiceUnavailable && status != http.StatusAccepted {
+				return d, status, json.Unmarshal(b, &d)
+			}
+			err = fmt.Errorf("ticket at %s: status %d: %s", i.Name, status, b)
+		}
+		if time.Now().After(end) {
+			return d, status, err
+		}
+	}
+}
+
+// sendAndLeave sends a ticket and closes the connection without reading.
+func (i *Instance) sendAndLeave(text []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", i.addr(adminPort))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c, "POST /v1/tickets HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", i.addr(adminPort), len(text), text)
+	return errors.Join(err, c.Close())
+}
+
+// adminCommand runs the program against an instance and keeps its output for
+// stdout and stderr: admin NAME ARGUMENTS.
+func adminCommand(ts *testscript.TestScript, neg bool, args []string) {
+	w := of(ts)
+	if len(args) < 2 {
+		ts.Fatalf("usage: admin NAME COMMAND ARGUMENTS")
+	}
+	i, err := w.d.Find(args[0])
+	if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	err = ts.Exec("pollenlatch", append(args[1:], "--admin", i.addr(adminPort))...)
+	if (err != nil) != neg {
+		ts.Fatalf("pollenlatch %s: %v", strings.Join(args[1:], " "), err)
+	}
+}
--- /dev/null
+++ b/script/server.go
@@ -0,0 +1,97 @@
+package script
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"pollenlatch"
+	"pollenlatch/cmd"
+	"pollenlatch/daemon"
+	"pollenlatch/sample"
+)
+
+// networkVar names the address of the network that a daemon dials through.
+const networkVar = "POLLENLATCH_SCRIPT_NETWORK"
+
+// Program is the program pollenlatch, whose daemons dial through the network
+// of the scenario. It returns the exit code.
+func Program() int {
+	args, network := os.Args[1:], os.Getenv(networkVar)
+	if len(args) != 3 || args[0] != "serve" || args[1] != "-c" || network == "" {
+		return cmd.Run(args, os.Stdout, os.Stderr)
+	}
+	err := cmd.Serve(args[2], func(c *daemon.Config) { c.Dial = DialThrough(network, c.Name) })
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// Endpoint is a program with a sample endpoint server. It appends each run to
+// a file before the run begins. It returns the exit code.
+func Endpoint() int {
+	var (
+		cfg            sample.Config
+		listen, record string
+		unfenced       bool
+	)
+	fs := flag.NewFlagSet("endpoint", flag.ExitOnError)
+	fs.StringVar(&listen, "listen", "", "address for requests")
+	fs.StringVar(&cfg.Daemon, "daemon", "", "local address of the daemon")
+	fs.StringVar(&cfg.Endpoint.Service, "service", "", "service")
+	fs.StringVar(&record, "record", "", "file for the runs")
+	fs.DurationVar(&cfg.ServiceTime, "time", time.Millisecond, "run time of a request")
+	fs.BoolVar(&unfenced, "unfenced", false, "do not check fences")
+	_ = fs.Parse(os.Args[1:])
+	cfg.Endpoint.Fenced = !unfenced
+	if err := endpoint(cfg, listen, record); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+func endpoint(cfg sample.Config, listen, record string) error {
+	f, err := os.OpenFile(record, os.O_WRONLY|os.O_APPEND|os.O_CREATE, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	cfg.Ledger = &sample.Ledger{Began: func(r sample.Run) {
+		_, _ = f.WriteString(formatRun(r))
+	}}
+	s, err := sample.New(cfg)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	return s.Serve(ln)
+}
+
+// formatRun writes a run as one line. One write of a line is not interleaved
+// with another.
+func formatRun(r sample.Run) string {
+	return fmt.Sprintf("%d %d %d %d %q %q\n", r.Start.UnixNano(), r.Server, r.Fence, r.Shard.Range, r.Shard.Key, r.ID)
+}
+
+// parseRun reads a line of formatRun.
+func parseRun(line string) (r sample.Run, err error) {
+	var start int64
+	var fence uint64
+	_, err = fmt.Sscanf(line, "%d %d %d %d %q %q", &start, &r.Server, &fence, &r.Shard.Range, &r.Shard.Key, &r.ID)
+	r.Start, r.Fence = time.Unix(0, start), pollenlatch.Fence(fence)
+	return r, err
+}
