--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -22,7 +22,7 @@
 		seed, duration := uint64(1), benchDuration
 		f.positional(&shape, "SHAPE")
 		f.uint64(&seed, "", "seed", "of arrivals, keys and service times; 1 if not given")
-		f.duration(&duration, "", "duration", "length of each run; 6s if not given")
+		f.duration(&duration, "duration", "length of each run; 6s if not given")
 		f.uint64(&attempts, "", "attempts", "of a caller; 4 if not given")
 		f.text(&only, "", "only", "part of the names of the experiments to run")
 		return func(e *env) error {
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -47,7 +47,7 @@
 	f.text(&c.addr, "a", "admin", "administration address of any instance; "+adminVar+" or "+defaultAdmin+" if not given")
 	f.text(&c.token, "t", "token-file", "file with the token; "+tokenVar+" if not given")
 	f.text(&c.output, "o", "output", "table or json")
-	f.duration(&c.timeout, "", "timeout", "longest time to wait, such as 15s")
+	f.duration(&c.timeout, "timeout", "longest time to wait, such as 15s")
 	return c
 }
 
--- a/cmd/flags.go
+++ b/cmd/flags.go
@@ -45,9 +45,9 @@
 	f.parser.Bool(v, short, long, about)
 }
 
-func (f *flags) duration(v *time.Duration, short, long, about string) {
-	f.note(long, short, about)
-	f.parser.Duration(v, short, long, about)
+func (f *flags) duration(v *time.Duration, long, about string) {
+	f.note(long, "", about)
+	f.parser.Duration(v, "", long, about)
 }
 
 func (f *flags) uint64(v *uint64, short, long, about string) {
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -58,6 +58,7 @@
 }
 
 func benchPath(b *testing.B, addr string, conns int, f pollenlatch.Fence, r pollenlatch.Range) {
+	b.Helper()
 	client := &fasthttp.HostClient{Addr: addr, MaxConns: conns, Dial: func(a string) (net.Conn, error) { return net.Dial("tcp", a) }}
 	took := make([][]time.Duration, conns)
 	todo := make(chan struct{}, b.N)
