Count leases on the clock that includes suspension

Cause: the process clock stands still while the system is suspended, so a lease would seem to last after it. Change: daemons count leases on CLOCK_BOOTTIME. In the simulation servers leave and come back, which brings about hand-overs. Conclusion: a suspended instance acts no more. A hypervisor that hides a pause from all of the guest's clocks is not covered; there only fences and deadlines of the server protect.

--- /dev/null
+++ b/clock_linux.go
@@ -0,0 +1,13 @@
+package pollenlatch
+
+import "golang.org/x/sys/unix"
+
+// Now returns the time since the system was booted, with the time that it was
+// suspended.
+func (Boot) Now() Mono {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return System{}.Now()
+	}
+	return Mono(t.Nano())
+}
--- a/ctrl/ctrl_test.go
+++ b/ctrl/ctrl_test.go
@@ -300,7 +300,7 @@
 // fault breaks or repairs one thing at random.
 func (s *sim) fault() {
 	n := s.nodes[s.order[s.rng.IntN(len(s.order))]]
-	switch s.rng.IntN(9) {
+	switch s.rng.IntN(11) {
 	case 0:
 		n.kill()
 	case 1:
@@ -323,6 +323,9 @@
 		s.double = s.rng.Float64() * 0.2
 	case 8: // late and out of order
 		s.slow[n.name] = time.Duration(s.rng.Int64N(int64(400 * time.Millisecond)))
+	default: // the server leaves, or is back
+		n.facts.Draining = !n.facts.Draining
+		n.deliver(n.epoch, func() Event { return Announced{Now: s.now, Endpoint: n.facts} })
 	}
 }
 
@@ -332,6 +335,8 @@
 	s.drop, s.double = 0, 0
 	for _, name := range s.order {
 		n := s.nodes[name]
+		n.facts.Draining = false
+		n.deliver(n.epoch, func() Event { return Announced{Now: s.now, Endpoint: n.facts} })
 		if n.paused {
 			n.resume()
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -119,6 +119,7 @@
 		cfg.Timing = ctrl.DefaultTiming()
 	}
 	d := &Daemon{
+		desk:  ctrl.Desk{Clock: pollenlatch.Boot{}},
 		cfg:   cfg,
 		life:  pollenlatch.Incarnation(rand.Uint64() | 1),
 		done:  make(chan struct{}),
@@ -156,6 +157,7 @@
 	d.loop = &ctrl.Loop{
 		Reducer:  ctrl.New(d.reducerConfig()),
 		Desk:     &d.desk,
+		Clock:    pollenlatch.Boot{},
 		Sender:   d,
 		Granter:  d.local,
 		Transfer: d.transfer,
--- a/ident.go
+++ b/ident.go
@@ -51,6 +51,11 @@
 // Now returns the time since the process started.
 func (System) Now() Mono { return Mono(time.Since(processStart)) }
 
+// Boot is the clock that leases are counted on. Unlike System it goes on while
+// the system is suspended: a lease must not seem to last after a suspension.
+// Linux has such a clock; elsewhere Boot is the same as System.
+type Boot struct{}
+
 // MaxBits bounds the number of ranges of a service to 1<<MaxBits.
 const MaxBits = 20
 
--- a/wire_test.go
+++ b/wire_test.go
@@ -109,3 +109,24 @@
 		}
 	})
 }
+
+// A clock that goes back or stands still would let a lease last too long.
+func TestClocksGoOn(t *testing.T) {
+	for name, c := range map[string]Clock{"boot": Boot{}, "system": System{}} {
+		t.Run(name, func(t *testing.T) {
+			first := c.Now()
+			for range 1_000_000 {
+				if now := c.Now(); now > first {
+					return
+				}
+			}
+			t.Fatal("the clock stands still")
+		})
+	}
+}
+
+func BenchmarkBootClock(b *testing.B) {
+	for b.Loop() {
+		_ = Boot{}.Now()
+	}
+}
