Let a target go half a shard above the mean

Cause: with few or uneven shards no target stayed below 1 + 0.6 times the start of balancing, so an overloaded endpoint kept its load. Change: a target may come to 0.9 of the start, or half a large shard above the mean, when the owner keeps at least as much.

--- a/plan/balance.go
+++ b/plan/balance.go
@@ -146,12 +146,21 @@
 	if t == nil || t == c {
 		return nil
 	}
-	after := t.load + r.relative(o.rate, 1)/t.size
-	if c.suspect && after <= 1+maxStart {
-		return t
-	}
-	if after > 1+r.start*stopShare || after >= c.load {
+	x := r.relative(o.rate, 1)
+	after := t.load + x/t.size
+	switch {
+	case c.suspect:
+		if after > 1+maxStart {
+			return nil
+		}
+	case after >= c.load:
 		return nil
+	case after > 1+r.start*stopShare:
+		// It may come near the excess that starts balancing, or half a large
+		// shard above the mean, but not above what the owner keeps.
+		if after > 1+max(r.start*nearShare, x/2) || after > c.load-x/c.size {
+			return nil
+		}
 	}
 	return t
 }
--- a/plan/settings.go
+++ b/plan/settings.go
@@ -44,10 +44,12 @@
 	// again, in units of one move's churn.
 	horizon = 20
 	// minStart and maxStart bound the excess over the mean that starts
-	// balancing; stopShare of it ends balancing.
+	// balancing; stopShare of it ends balancing. A target stays below nearShare
+	// of it.
 	minStart  = 0.05
 	maxStart  = 0.25
 	stopShare = 0.6
+	nearShare = 0.9
 	// Below quietRate requests a second for the mean endpoint a rate says
 	// nothing and only the shards are counted, with quietStart as the excess.
 	// Above it an excess counts from noiseSigmas standard deviations of a rate
