Keep a copy of each daemon's service-level events at its neighbour

Cause: a daemon without a data folder lost its events with the process, so the service-level report did not survive its restart. Change: every daemon copies the events of the instance before it every 20 s, keeps the copies of two, and a daemon that starts without a folder gets its own back. Reports travel in pieces of at most 128 KB on the bulk stream. pollenlatch trial runs the planner's trials. Conclusion: a restart loses at most 20 s of events; losing a daemon and its neighbour at once loses them, and the report shows the minutes as missing.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -69,6 +69,7 @@
 	demoCommand,
 	loadCommand,
 	benchCommand,
+	trialCommand,
 	versionCommand,
 }
 
--- /dev/null
+++ b/cmd/trial.go
@@ -0,0 +1,25 @@
+package cmd
+
+import (
+	"pollenlatch/trial"
+)
+
+const trialSeeds = 3
+
+var trialCommand = command{
+	name:     "trial",
+	about:    "compare the planner with other placements on seeded traces",
+	examples: []string{"trial", "trial --seeds 5", "trial --dir docs"},
+	setup: func(f *flags) func(*env) error {
+		var dir string
+		seeds := uint64(trialSeeds)
+		f.uint64(&seeds, "", "seeds", "runs of each trace, with seeds from 1; 3 if not given")
+		f.text(&dir, "", "dir", "folder for the tables and the plot; they are only printed if not given")
+		return func(e *env) error {
+			if dir != "" {
+				return trial.Report(dir, int(seeds))
+			}
+			return trial.Write(e.stdout, trial.Run(int(seeds)))
+		}
+	},
+}
--- a/daemon/burn.go
+++ b/daemon/burn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -68,14 +70,39 @@
 	}
 }
 
-// report answers another daemon's question for this daemon's events.
+// reportBytes bounds one answer with events: several follow each other.
+const reportBytes = 128 << 10
+
+// report answers another daemon's question for events.
 func (d *Daemon) report(from link.Peer, f *pollenlatch.Fetch) {
-	b, err := d.burn.Report(f.After).Encode()
-	if err != nil {
-		klog.ErrorS(err, "events not encoded", "for", from.Name)
-		return
+	answer := &pollenlatch.Fetched{Seq: f.Seq}
+	if c := d.counter(f.Of); c != nil {
+		answer.Data, answer.More = bounded(c.Report(f.After))
+	}
+	from.Send(&pollenlatch.Message{Fetched: answer})
+}
+
+// counter returns the events of this daemon, or the copy of another's.
+func (d *Daemon) counter(of string) *burn.Counter {
+	if of == "" || of == d.cfg.Name {
+		return &d.burn
+	}
+	return d.copies.get(of)
+}
+
+// bounded encodes the first minutes of a report, as many as there is room for.
+func bounded(r *burn.Report) (b []byte, more bool) {
+	for {
+		b, err := r.Encode()
+		if err != nil {
+			klog.ErrorS(err, "events not encoded")
+			return nil, false
+		}
+		if len(b) <= reportBytes || len(r.Minutes) <= 1 {
+			return b, more
+		}
+		r.Minutes, more = r.Minutes[:len(r.Minutes)/2], true
 	}
-	from.Send(&pollenlatch.Message{Fetched: &pollenlatch.Fetched{Seq: f.Seq, Data: b}})
 }
 
 // summary asks every daemon for its events and adds them up. A daemon that
@@ -96,14 +123,14 @@
 		free <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-free }()
-			r, err := d.fetch(ctx, i, after)
-			if err != nil {
+			whole := &burn.Counter{Daemon: i.Name}
+			if err := d.fetch(ctx, i, "", after, whole.Follow); err != nil {
 				klog.V(1).InfoS("daemon does not report its events", "instance", i.Name, "err", err)
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if err := s.Add(r); err != nil {
+			if err := s.Add(whole.Report(0)); err != nil {
 				klog.ErrorS(err, "events refused", "instance", i.Name)
 			}
 		})
@@ -112,18 +139,46 @@
 	return s, nil
 }
 
-func (d *Daemon) fetch(ctx context.Context, i pollenlatch.Instance, after int64) (*burn.Report, error) {
+// fetch asks a daemon for events after a minute, its own or the copy that it
+// has of another's, and passes them to take piece by piece.
+func (d *Daemon) fetch(ctx context.Context, i pollenlatch.Instance, of string, after int64, take func(*burn.Report) error) error {
 	if i.Name == d.cfg.Name {
-		return d.burn.Report(after), nil
+		return take(d.burn.Report(after))
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	for {
+		f, err := d.ask(ctx, i, &pollenlatch.Fetch{Of: of, After: after})
+		if err != nil {
+			return err
+		}
+		if len(f.Data) == 0 {
+			return fmt.Errorf("%w: of %s", errNoEvents, of)
+		}
+		r, err := burn.Decode(f.Data)
+		if err != nil {
+			return err
+		}
+		if err := take(r); err != nil {
+			return err
+		}
+		if !f.More || len(r.Minutes) == 0 {
+			return nil
+		}
+		after = r.Minutes[len(r.Minutes)-1].Minute
+	}
+}
+
+var errNoEvents = errors.New("the daemon has no events")
+
+func (d *Daemon) ask(ctx context.Context, i pollenlatch.Instance, f *pollenlatch.Fetch) (*pollenlatch.Fetched, error) {
 	seq, answer := d.fetches.begin()
 	defer d.fetches.end(seq)
-	d.node.Send(i.Addr, &pollenlatch.Message{Fetch: &pollenlatch.Fetch{Seq: seq, After: after}})
+	f.Seq = seq
+	d.node.Send(i.Addr, &pollenlatch.Message{Fetch: f})
 	select {
-	case b := <-answer:
-		return burn.Decode(b)
+	case a := <-answer:
+		return a, nil
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -99,7 +99,8 @@
 	endpoint  pollenlatch.Endpoint
 	announced bool
 	transfers calls[bool]
-	fetches   calls[[]byte]
+	fetches   calls[*pollenlatch.Fetched]
+	copies    copies
 
 	abort   sync.Once
 	aborted chan struct{}
@@ -234,6 +235,7 @@
 	d.watch()
 	go d.measure(life)
 	go d.keep(life)
+	go d.exchange(life)
 	klog.InfoS("daemon started", "instance", d.cfg.Name, "dc", d.cfg.DC, "link", d.cfg.Link, "front", d.cfg.Front)
 	var err error
 	select {
@@ -347,7 +349,7 @@
 		d.report(from, m.Fetch)
 		return
 	case m.Fetched != nil:
-		d.fetches.answer(m.Fetched.Seq, m.Fetched.Data)
+		d.fetches.answer(m.Fetched.Seq, m.Fetched)
 		return
 	}
 	d.mu.Lock()
--- a/link/control.go
+++ b/link/control.go
@@ -95,7 +95,7 @@
 		klog.Errorf("control message of %d bytes exceeds the limit of %d and is dropped", len(b), maxMessage)
 		return 0, nil, false
 	}
-	bulk := m.Records != nil || (m.Delta != nil && m.Delta.Piece != nil) || len(m.Quorum) >= bulkQuorum
+	bulk := m.Records != nil || m.Fetched != nil || (m.Delta != nil && m.Delta.Piece != nil) || len(m.Quorum) >= bulkQuorum
 	if bulk {
 		lane = laneBulk
 	}
--- a/message.go
+++ b/message.go
@@ -133,10 +133,12 @@
 type Fetch struct {
 	Seq   uint64 `protobuf:"varint,1,opt,name=seq"`
 	After int64  `protobuf:"varint,2,opt,name=after"` // Unix minutes; only later ones are wanted
+	Of    string `protobuf:"bytes,3,opt,name=of"`     // instance whose events are wanted; empty is the receiver
 }
 
 // Fetched answers Fetch.
 type Fetched struct {
 	Seq  uint64 `protobuf:"varint,1,opt,name=seq"`
-	Data []byte `protobuf:"bytes,2,opt,name=data"` // encoded by package burn
+	Data []byte `protobuf:"bytes,2,opt,name=data"`  // encoded by package burn; empty when the receiver has none
+	More bool   `protobuf:"varint,3,opt,name=more"` // later minutes were left out
 }
