serve: count an open request for the maxrun that the relay used

Cause: after an unknown outcome a request stayed counted for the maxrun of the service when the request came. The relay takes the deadline for the server from the view at the time of the write. A ticket that raised maxrun while the request waited in the queue made the deadline later than the end of the count, so that a hand-over could end while the server still ran the request.

Change: the count goes by the larger of the two, read again at the check.

Before: TestRaisedMaxRunHoldsUpRelease fails (released while the server may still run the request). After: it passes, as does go test -race ./serve.

Conclusion: the next owner waits for every deadline that was given out.

--- a/serve/serve.go
+++ b/serve/serve.go
@@ -140,6 +140,13 @@
 		release()
 		return nil, fail(err)
 	}
+	// A ticket may raise maxrun while the request waits, and the relay goes by
+	// what holds when it writes the request.
+	maxRun := s.maxRun(service)
+	check := func() error {
+		maxRun = max(maxRun, s.maxRun(service))
+		return pass.Check()
+	}
 	kept := false   // counted until the answer has been read
 	proven := false // it did not run
 	defer func() {
@@ -151,7 +158,7 @@
 		if run != nil {
 			run.Fail(pollenlatch.Unknown)
 		}
-		exit(pass, proven, service.MaxRun)
+		exit(pass, proven, maxRun)
 		release()
 	}()
 	q := *r
@@ -160,7 +167,7 @@
 		q.Body = run.Body()
 	}
 	start := time.Now()
-	resp, err := s.cfg.Exchanger.Exchange(ctx, &q, pass.Check)
+	resp, err := s.cfg.Exchanger.Exchange(ctx, &q, check)
 	if err != nil {
 		f := fail(err)
 		proven = f.Outcome == pollenlatch.NotRun
@@ -172,7 +179,13 @@
 		resp = run.Response(resp)
 	}
 	kept = true
-	return counted(resp, pass, service.MaxRun, release), nil
+	return counted(resp, pass, maxRun, release), nil
+}
+
+// maxRun returns the larger of a service's maxrun now and when the request came.
+func (s *Server) maxRun(then pollenlatch.Service) time.Duration {
+	now, _ := s.cfg.Control.View().Service(then.Name)
+	return max(then.MaxRun, now.MaxRun)
 }
 
 // exit ends the pass of a request. One that may still run at the server stays
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -81,9 +81,13 @@
 	runs int
 
 	panics bool
+	before func() // of the check
 }
 
 func (x *exchanger) Exchange(_ context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
+	if x.before != nil {
+		x.before()
+	}
 	if err := check(); err != nil {
 		return nil, err
 	}
@@ -417,3 +421,21 @@
 		})
 	}
 }
+
+// A ticket that raises maxrun while a request waits gives the server longer for
+// it. A release after the former maxrun would let the next owner act beside it.
+func TestRaisedMaxRunHoldsUpRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.exchange.before = func() { b.control.state.service.MaxRun = 5 * maxRun }
+		b.exchange.err = &pollenlatch.Failure{Outcome: pollenlatch.Unknown, Reason: pollenlatch.Broken, Status: 502}
+		_, err := b.call(request())
+		require.Error(t, err)
+		<-time.After(5*maxRun - 1)
+		synctest.Wait()
+		require.EqualValues(t, 1, b.control.inFlight.Load(), "released while the server may still run the request")
+		<-time.After(1)
+		synctest.Wait()
+		b.requireNothingCounted(t)
+	})
+}
