ctrl: end the loop although the disk hangs

Cause: at its end the loop waited without bound for the write of the data folder. With a disk that never answers, a shutdown never ended.

Change: the wait is bounded by 5 s. Err then is ErrDiskHangs, and the daemon leaves the data folder open. Tests run a shutdown while the disk and the server hang, the queue of events is full and a caller waits for a verdict, and a loop whose server never answers a grant.

Before: TestShutdownWhileEverythingHangs fails (bound set to 5 h: the loop waits for the disk for ever). After: both tests pass with -race. No deadlock of the queues and no race was seen.

Conclusion: a process can always end. A write in a hung disk is lost with the process, as in a crash; it was never acknowledged.

--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -29,8 +29,13 @@
 // reports whether they arrived.
 type Transfer func(ctx context.Context, k lease.Key, to pollenlatch.Instance) bool
 
-// ErrClosed says that the loop has ended.
-var ErrClosed = errors.New("control loop has ended")
+var (
+	// ErrClosed says that the loop has ended.
+	ErrClosed = errors.New("control loop has ended")
+	// ErrDiskHangs says that the loop has ended while the disk still kept a
+	// write. The disk must not be closed then.
+	ErrDiskHangs = errors.New("data folder did not finish its last write")
+)
 
 const (
 	// eventQueue is the number of events that may wait for the loop.
@@ -44,6 +49,9 @@
 	// transferTimeout bounds the sending of one shard's records. Requests for
 	// the shard wait for it.
 	transferTimeout = time.Second
+	// endTimeout bounds the wait for a write of the disk at the end. A disk that
+	// takes longer may never answer, and the process must be able to end.
+	endTimeout = 5 * time.Second
 )
 
 // Loop owns a Reducer: one goroutine handles the events in order and carries
@@ -108,7 +116,8 @@
 	go l.run(ctx)
 }
 
-// Done is closed when the loop has ended and the disk is no longer used.
+// Done is closed when the loop has ended and the disk is no longer used, unless
+// Err is ErrDiskHangs.
 func (l *Loop) Done() <-chan struct{} {
 	l.open()
 	return l.done
@@ -126,7 +135,8 @@
 	return l.left
 }
 
-// Err returns why this process can no longer be a voter, once Done is closed.
+// Err returns why this process can no longer be a voter, or ErrDiskHangs, once
+// Done is closed.
 func (l *Loop) Err() error { return l.halted }
 
 // Origin returns how a shard got its fence, if this process has seen that
@@ -216,7 +226,16 @@
 	close(l.ending)
 	close(l.disk)
 	close(l.grants)
-	l.workers.Wait()
+	idle := make(chan struct{})
+	go func() {
+		l.workers.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-time.After(endTimeout):
+		l.halted = errors.Join(l.halted, ErrDiskHangs)
+	}
 	close(l.done)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -311,7 +311,11 @@
 	<-d.loop.Done()
 	d.relay.Close()
 	_ = d.local.Close()
-	if v := d.cfg.Voter; v != nil {
+	switch v := d.cfg.Voter; {
+	case v == nil:
+	case errors.Is(d.loop.Err(), ctrl.ErrDiskHangs):
+		klog.ErrorS(d.loop.Err(), "data folder left open", "instance", d.cfg.Name)
+	default:
 		if err := v.Disk.Close(); err != nil {
 			klog.ErrorS(err, "data folder not closed", "instance", d.cfg.Name)
 		}
