script: add a scenario for each invariant and each line of the failure model

Sections 1 and 7 of the design page were checked by simulations and inside one process only. 15 scenarios now disturb real processes: 8 for the invariants, 7 for the failure model. Each ends with a comparison of what callers were told with what the servers recorded, and of the order of fences.

--- a/script/caller.go
+++ b/script/caller.go
@@ -100,8 +100,9 @@
 	return err != nil && strings.Contains(err.Error(), "connect: connection refused") && errors.As(err, &op)
 }
 
-// Traffic sends claims from some workers, each to the daemons in turn, until
-// Quiet. An attempt that did not run is repeated at the next daemon.
+// Traffic sends claims from some workers, until Quiet. Each worker stays with
+// one daemon, so that a paused one holds up only its own workers, and repeats
+// there what did not run.
 func (c *Caller) Traffic(workers int, service string, fronts []string, failed func(error)) {
 	stop := make(chan struct{})
 	c.stop = stop
@@ -109,8 +110,8 @@
 		c.wg.Go(func() {
 			for n := w; ; n++ {
 				id := fmt.Sprintf("traffic-%d", c.last.Add(1))
-				q := claim{service: service, key: fmt.Sprintf("lot-%d", n%97), id: id, timeout: trafficTimeout}
-				if !c.finish(q, fronts, n, stop, failed) {
+				q := claim{front: fronts[w%len(fronts)], service: service, key: fmt.Sprintf("lot-%d", n%97), id: id, timeout: trafficTimeout}
+				if !c.finish(q, stop, failed) {
 					return
 				}
 			}
@@ -119,6 +120,7 @@
 }
 
 const (
+	// trafficTimeout bounds the wait for an owner that is paused.
 	trafficTimeout = 3 * time.Second
 	// trafficPause keeps the workers from filling the machine.
 	trafficPause = 5 * time.Millisecond
@@ -126,15 +128,13 @@
 
 // finish makes attempts until one is not refused. It reports whether the
 // traffic goes on.
-func (c *Caller) finish(q claim, fronts []string, n int, stop <-chan struct{}, failed func(error)) bool {
+func (c *Caller) finish(q claim, stop <-chan struct{}, failed func(error)) bool {
 	for {
 		select {
 		case <-stop:
 			return false
 		case <-time.After(trafficPause):
 		}
-		q.front = fronts[n%len(fronts)]
-		n++
 		ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
 		outcome, _, err := c.Send(ctx, q)
 		cancel()
--- a/script/expect.go
+++ b/script/expect.go
@@ -14,11 +14,13 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"pollenlatch/admin"
+	"pollenlatch/burn"
 )
 
 // operator asks the administration API. A connection for each request keeps a
@@ -58,6 +60,11 @@
 	"running":  {"NAME NUMBER", running},
 	"exited":   {"NAME", exited},
 	"answered": {"NAME", answered},
+	"served":   {"NAME NUMBER", served},
+	"total":    {"OUTCOME NUMBER", total},
+	"fence":    {"NAME SERVICE KEY FENCE", fence},
+	"burn":     {"NAME DAEMON missing|reporting", burnOf},
+	"events":   {"NAME SERVICE NUMBER", events},
 }
 
 // expect waits until a condition holds, or with ! until it does not hold.
@@ -134,12 +141,7 @@
 }
 
 func owner(w *world, a []string) (bool, string) {
-	i, err := w.d.Find(a[0])
-	if err != nil {
-		return false, err.Error()
-	}
-	var o admin.Owner
-	err = i.get("/v1/owner?"+url.Values{"service": {a[1]}, "key": {a[2]}}.Encode(), &o)
+	o, err := w.owner(a[0], a[1], a[2])
 	return err == nil && o.Instance != nil && o.Instance.Name == a[3], fmt.Sprintf("%+v %v", o, err)
 }
 
@@ -206,6 +208,129 @@
 	return err == nil && !i.daemon.runs(), fmt.Sprint(err)
 }
 
+// served holds when the servers of an instance have started so many requests.
+func served(w *world, a []string) (bool, string) {
+	n, err := w.served(a[0])
+	return err == nil && strconv.Itoa(n) == a[1], fmt.Sprintf("%d requests, %v", n, err)
+}
+
+func (w *world) served(name string) (int, error) {
+	i, err := w.d.Find(name)
+	if err != nil {
+		return 0, err
+	}
+	b, err := os.ReadFile(w.d.record(i))
+	return bytes.Count(b, []byte("\n")), err
+}
+
+// total holds when so many requests have the outcome.
+func total(w *world, a []string) (bool, string) {
+	n := w.caller.Told(a[0])
+	return strconv.Itoa(n) == a[1], fmt.Sprintf("%d requests", n)
+}
+
+func (w *world) owner(name, service, key string) (o admin.Owner, err error) {
+	i, err := w.d.Find(name)
+	if err != nil {
+		return o, err
+	}
+	return o, i.get("/v1/owner?"+url.Values{"service": {service}, "key": {key}}.Encode(), &o)
+}
+
+// fence holds when a key has an owner with the fence or a later one.
+func fence(w *world, a []string) (bool, string) {
+	o, err := w.owner(a[0], a[1], a[2])
+	least, perr := strconv.ParseUint(a[3], 10, 64)
+	err = errors.Join(err, perr)
+	return err == nil && o.Instance != nil && uint64(o.Fence) >= least, fmt.Sprintf("%+v %v", o, err)
+}
+
+func (w *world) burn(name string) (d burn.Document, err error) {
+	i, err := w.d.Find(name)
+	if err != nil {
+		return d, err
+	}
+	return d, i.get("/v1/burn", &d)
+}
+
+// burnOf holds when the burn report counts a daemon as missing or reporting.
+func burnOf(w *world, a []string) (bool, string) {
+	d, err := w.burn(a[0])
+	for _, x := range d.Daemons {
+		if x.Name == a[1] {
+			return x.Missing == (a[2] == "missing"), fmt.Sprintf("%+v", x)
+		}
+	}
+	return false, fmt.Sprint("no such daemon in the report, ", err)
+}
+
+// events holds when the burn report has so many events of a service's
+// availability, of all daemons and the whole 3 days.
+func events(w *world, a []string) (bool, string) {
+	d, err := w.burn(a[0])
+	for _, l := range d.Lines {
+		if l.Service == a[1] && l.Kind == "availability" {
+			r := l.Rates[len(l.Rates)-1]
+			return strconv.FormatUint(r.Events, 10) == a[2], fmt.Sprintf("%+v", r)
+		}
+	}
+	return false, fmt.Sprintf("no objective of %s among %+v, %v", a[1], d.Lines, err)
+}
+
+// let gives a variable what is the case now: let VAR WHAT ARGUMENTS.
+func let(ts *testscript.TestScript, neg bool, args []string) {
+	w := of(ts)
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: let VAR leader NAME | follower NAME | owner NAME SERVICE KEY | fence NAME SERVICE KEY | served NAME | other NAME...")
+	}
+	var value string
+	for end := time.Now().Add(hangLimit); value == "" && time.Now().Before(end); time.Sleep(pollInterval) {
+		value = w.look(args[1], args[2:])
+	}
+	if value == "" {
+		ts.Fatalf("still no %s\n%s", strings.Join(args[1:], " "), w.logs())
+	}
+	ts.Logf("%s = %s", args[0], value)
+	ts.Setenv(args[0], value)
+}
+
+// look returns a fact, or nothing when it can't be told now.
+func (w *world) look(what string, a []string) string {
+	switch {
+	case what == "leader" && len(a) == 1:
+		s, _ := w.status(a[0])
+		if l, err := w.status(s.Process.Leader); err == nil && l.Process.Leads {
+			return s.Process.Leader
+		}
+	case what == "follower" && len(a) == 1:
+		s, _ := w.status(a[0])
+		for _, v := range w.d.voters {
+			if s.Process.Leader != "" && v.Name != s.Process.Leader && v.Name != a[0] {
+				return v.Name
+			}
+		}
+	case what == "owner" && len(a) == 3:
+		if o, err := w.owner(a[0], a[1], a[2]); err == nil && o.Instance != nil {
+			return o.Instance.Name
+		}
+	case what == "fence" && len(a) == 3:
+		if o, err := w.owner(a[0], a[1], a[2]); err == nil && o.Instance != nil {
+			return fmt.Sprint(o.Fence)
+		}
+	case what == "served" && len(a) == 1:
+		if n, err := w.served(a[0]); err == nil {
+			return strconv.Itoa(n)
+		}
+	case what == "other":
+		for _, i := range w.d.instances {
+			if !slices.Contains(a, i.Name) {
+				return i.Name
+			}
+		}
+	}
+	return ""
+}
+
 // ticketCommand sends a ticket and compares the answer: ticket FROM FILE OUTCOME.
 // Outcomes are accepted (and in force everywhere), refused, and lost, when the
 // answer is not read. Until it is decided it is sent again.
@@ -229,7 +354,7 @@
 		}
 		return
 	}
-	d, status, err := i.apply(text)
+	d, status, err := i.apply(text, "in-force")
 	if err != nil {
 		ts.Fatalf("%v\n%s", err, w.logs())
 	}
@@ -243,6 +368,56 @@
 	}
 }
 
+// ticketsCommand sends the next tickets one after another, each as soon as the
+// one before is accepted: tickets FROM COUNT.
+func ticketsCommand(ts *testscript.TestScript, neg bool, args []string) {
+	w := of(ts)
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: tickets FROM COUNT")
+	}
+	s, err := w.status(args[0])
+	ts.Check(err)
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	i, _ := w.d.Find(args[0])
+	for n := s.Next; n < s.Next+uint64(count); n++ {
+		text := fmt.Sprintf("number: %d\ncallers: [{name: caller-%d, rate: %d}]\n", n, n%100, n)
+		d, _, err := i.apply([]byte(text), "accepted")
+		if err != nil || !d.Verdict.Accepted {
+			ts.Fatalf("ticket %d: %+v, %v\n%s", n, d, err, w.logs())
+		}
+	}
+}
+
+// raceCommand sends two tickets at the same moment and requires that one is
+// accepted and the other refused: race FROM FILE FROM FILE.
+func raceCommand(ts *testscript.TestScript, neg bool, args []string) {
+	w := of(ts)
+	if neg || len(args) != 4 {
+		ts.Fatalf("usage: race FROM FILE FROM FILE")
+	}
+	var wg sync.WaitGroup
+	var answers [2]admin.Decision
+	var errs [2]error
+	for k := range answers {
+		i, err := w.d.Find(args[2*k])
+		ts.Check(err)
+		text := ts.ReadFile(args[2*k+1])
+		wg.Go(func() { answers[k], _, errs[k] = i.apply([]byte(text), "in-force") })
+	}
+	wg.Wait()
+	ts.Check(errors.Join(errs[:]...))
+	if answers[0].Verdict.Accepted == answers[1].Verdict.Accepted {
+		ts.Fatalf("not exactly one of two tickets was accepted: %+v", answers)
+	}
+	won := 0
+	if answers[1].Verdict.Accepted {
+		won = 1
+	}
+	ts.Setenv("WON", args[2*won+1])
+	ts.Setenv("LOST", args[2*(1-won)+1])
+}
+
 // expand puts the link address of instance X and the incarnation of its data
 // folder in place of $X_ADDR and $X_INCARNATION, with - in a name as _.
 func (w *world) expand(text []byte) []byte {
@@ -260,11 +435,11 @@
 }
 
 // apply sends a ticket until it is decided.
-func (i *Instance) apply(text []byte) (d admin.Decision, status int, err error) {
+func (i *Instance) apply(text []byte, wait string) (d admin.Decision, status int, err error) {
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: hangLimit}
 	for end := time.Now().Add(hangLimit); ; time.Sleep(pollInterval) {
 		var resp *http.Response
-		resp, err = client.Post("http://"+i.addr(adminPort)+"/v1/tickets?wait=in-force&timeout=30s", "application/yaml", bytes.NewReader(text))
+		resp, err = client.Post("http://"+i.addr(adminPort)+"/v1/tickets?timeout=30s&wait="+wait, "application/yaml", bytes.NewReader(text))
 		if err == nil {
 			status = resp.StatusCode
 			b, rerr := io.ReadAll(resp.Body)
--- a/script/script.go
+++ b/script/script.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"pollenlatch/sample"
 )
 
 const (
@@ -76,6 +79,8 @@
 		"thaw":     func(w *world, a []string) error { return w.each(servers(a), syscall.SIGCONT) },
 		"cut":      func(w *world, a []string) error { return w.network(a, w.d.Network.Cut) },
 		"heal":     func(w *world, a []string) error { return w.network(a, w.d.Network.Heal) },
+		"drain":    func(w *world, a []string) error { return w.each(servers(a), syscall.SIGUSR1) },
+		"fault":    (*world).fault,
 		"lose":     (*world).lose,
 		"init":     (*world).init,
 		"traffic":  (*world).traffic,
@@ -83,7 +88,9 @@
 		"await":    (*world).await,
 		"check":    (*world).check,
 	}
-	cmds := map[string]Command{"expect": expect, "ticket": ticketCommand, "admin": adminCommand}
+	cmds := map[string]Command{
+		"expect": expect, "let": let, "ticket": ticketCommand, "tickets": ticketsCommand, "race": raceCommand, "admin": adminCommand,
+	}
 	for name, f := range all {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			if neg {
@@ -301,6 +308,26 @@
 	return w.d.Init(i)
 }
 
+// fault NAME JSON replaces the faults of the server of an instance.
+func (w *world) fault(args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: fault NAME JSON")
+	}
+	i, err := w.d.Find(args[0])
+	if err != nil {
+		return err
+	}
+	resp, err := operator.Post("http://"+i.addr(serverPort)+sample.PathFault, "application/json", strings.NewReader(args[1]))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("fault at %s: status %d", i.Name, resp.StatusCode)
+	}
+	return nil
+}
+
 // traffic SERVICE [WORKERS], or traffic stop.
 func (w *world) traffic(args []string) error {
 	if len(args) == 0 || len(args) > 2 {
@@ -309,7 +336,7 @@
 	if args[0] == "stop" {
 		return w.quiet()
 	}
-	workers := 4
+	workers := 2 * len(w.d.instances)
 	if len(args) == 2 {
 		n, err := strconv.Atoi(args[1])
 		if err != nil || n < 1 || n > 64 {
--- a/script/server.go
+++ b/script/server.go
@@ -78,6 +78,13 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	context.AfterFunc(ctx, func() { _ = s.Close() })
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGUSR1)
+	go func() {
+		<-leave
+		// It goes on running what is sent to it, so that new work would show.
+		_ = s.Drain(ctx, time.Hour)
+	}()
 	return s.Serve(ln)
 }
 
