front: answer not-run for any error of Serving, test HEAD over two hops

Cause: an error of Control.Serving that is no Failure was answered as unknown although nothing had been sent. Change: it is answered as no-lease, not run. Conclusion: HEAD works over two hops.

--- a/front/hops_test.go
+++ b/front/hops_test.go
@@ -32,6 +32,10 @@
 			w.Length = -1
 			w.Body = io.NopCloser(io.MultiReader(bytes.NewReader(make([]byte, 1<<19)), brokenBody{strings.NewReader("")}))
 			return w, nil
+		case "head":
+			w := ok("")
+			w.Length = 1 << 20 // of the body that GET would get
+			return w, nil
 		case "upload":
 			_, err := io.Copy(io.Discard, r.Body)
 			ended <- err
@@ -45,8 +49,9 @@
 	})
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
+	method := http.MethodPost
 	ask := func(ctx context.Context, kind string, body io.Reader) got {
-		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/s/claims/k", body)
+		r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/s/claims/k", body)
 		require.NoError(t, err)
 		r.Header.Set(headerKind, kind)
 		w, err := client.Do(r)
@@ -76,6 +81,15 @@
 		require.Error(t, ask(t.Context(), "upload", body).err)
 		require.Error(t, <-ended)
 	})
+	t.Run("no body for HEAD", func(t *testing.T) {
+		method = http.MethodHead
+		defer func() { method = http.MethodPost }()
+		for range 2 {
+			w := ask(t.Context(), "head", nil)
+			require.NoError(t, w.err)
+			require.Equal(t, int64(1<<20), w.ContentLength)
+		}
+	})
 	t.Run("caller goes away", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { <-started; cancel() }()
--- a/front/router.go
+++ b/front/router.go
@@ -133,7 +133,11 @@
 	for {
 		changed := x.cfg.Control.Changed()
 		if err := x.cfg.Control.Serving(); err != nil {
-			return asFailure(err)
+			var f *pollenlatch.Failure
+			if errors.As(err, &f) {
+				return f
+			}
+			return failed(pollenlatch.NoLease, http.StatusServiceUnavailable, "%v", err)
 		}
 		v := x.cfg.Control.View()
 		s, ok := v.Service(x.request.Service)
--- a/front/router_test.go
+++ b/front/router_test.go
@@ -159,6 +159,7 @@
 		{"no such service", "none", nil, pollenlatch.NoService, 404},
 		{"no key", "claims", nil, pollenlatch.BadRequest, 400},
 		{"no lease", "claims", failure(pollenlatch.NotRun, pollenlatch.NoLease, 503), pollenlatch.NoLease, 503},
+		{"no lease, for another reason", "claims", errors.New("x"), pollenlatch.NoLease, 503},
 		{"no endpoint until the deadline", "catalogue", nil, pollenlatch.NoEndpoint, 503},
 	} {
 		t.Run(c.name, func(t *testing.T) {
