scale: measure the slopes of costs by size

Change: package scale drives real reducers of three voters against fake daemons that only renew, a real reducer as one daemon, and real sessions on loopback. The command "pollenlatch scale" prints a table or JSON.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -68,6 +68,7 @@
 	initCommand,
 	demoCommand,
 	loadCommand,
+	scaleCommand,
 	versionCommand,
 }
 
--- /dev/null
+++ b/scale/scale_test.go
@@ -0,0 +1,76 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A wrong line would carry every figure of the capacity page with it.
+func TestLine(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		points      []Point
+		base, slope float64
+	}{
+		{"exact", []Point{{1, 5}, {2, 7}, {4, 11}}, 3, 2},
+		{"least squares", []Point{{0, 0}, {1, 2}, {2, 1}}, 0.5, 0.5},
+		{"one size", []Point{{3, 4}, {3, 6}}, 5, 0},
+		{"none", nil, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			base, slope := line(c.points)
+			require.InDelta(t, c.base, base, 1e-9)
+			require.InDelta(t, c.slope, slope, 1e-9)
+		})
+	}
+}
+
+// Bytes on the wire that leave out headers would hide a broken limit.
+func TestWireBytes(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		message, bytes int
+	}{
+		// One segment and its acknowledgement.
+		{"small", 34, 34 + 5 + 12 + 2*52},
+		{"one full segment", 1448 - 17, 1448 + 2*52},
+		{"two segments", 1448 - 16, 1449 + 3*52},
+		// Written in two parts with a yamux header each: 46 segments, 23 acknowledgements.
+		{"two parts", pieceBytes, pieceBytes + 5 + 2*12 + (46+23)*52},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.bytes, wireBytes(c.message)) })
+	}
+}
+
+// A fake that drops or invents deltas would report the costs of something
+// else: the measured daemon must end with the very state of the leader.
+func TestGroupRepairsLoss(t *testing.T) {
+	w, err := newWorld(1, 12, 8)
+	require.NoError(t, err)
+	g, err := newGroup(1, w)
+	require.NoError(t, err)
+	d, err := newDaemon(w)
+	require.NoError(t, err)
+	lost := []int{3, 5}
+	for _, i := range lost {
+		g.daemons[i].up = false
+	}
+	require.NoError(t, g.settle(func() bool { return g.repaired(lost) && g.caughtUp() }))
+	_, size, err := d.follow(g)
+	require.NoError(t, err)
+	require.Positive(t, size)
+	want, err := g.state().Snapshot()
+	require.NoError(t, err)
+	got, err := d.r.State().Snapshot()
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(want, got), "the daemon's state differs from the leader's")
+}
+
+// A misspelt part must not pass for a measurement of nothing.
+func TestUnknownPart(t *testing.T) {
+	_, err := Run(context.Background(), Config{Parts: []string{"renews"}})
+	require.ErrorContains(t, err, `no part "renews"`)
+}
