--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -70,6 +70,7 @@
 	loadCommand,
 	benchCommand,
 	trialCommand,
+	scaleCommand,
 	versionCommand,
 }
 
