ctrl: let a voter that left the group follow by deltas

Cause: a process started as a voter took the state only from its own log. Once a ticket had removed it from the group its log ended, and it ignored the deltas that the leader sent. It fell behind, lost its lease after the time of grace, and the server beside it got no more work until an operator restarted it.

Change: a voter that does not lead takes deltas too. Tests cover a group that grows to 5 and shrinks to 3 by tickets, a voter whose disk is lost (it does not count), and its replacement by a ticket followed by the loss of another voter.

Conclusion: the group can be changed without stopping a server.

--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -239,7 +239,12 @@
 // delta applies committed commands, or collects a snapshot.
 func (h *holder) delta(d *pollenlatch.Delta) {
 	if h.voter != nil {
-		return // a voter applies its own log
+		if h.lead {
+			return
+		}
+		// The leader does not count this process as a voter (any more), so its
+		// own log may end here. What both bring is the same.
+		h.fed = true
 	}
 	if d.Piece != nil {
 		h.piece(d.Piece)
--- a/ctrl/sim_test.go
+++ b/ctrl/sim_test.go
@@ -61,6 +61,7 @@
 	halted  error
 	busy    map[lease.Key]pollenlatch.Mono // requests in flight end then
 	ppm     int64                          // by which its clock is fast
+	member  *pollenlatch.Member            // as a voter, if not one of the first
 	side    *side                          // traffic and the server beside it; nil without traffic
 }
 
@@ -186,7 +187,7 @@
 	}
 	boot := Boot{Now: n.now()}
 	if n.voter {
-		self := n.sim.voters[slices.IndexFunc(n.sim.voters, func(m pollenlatch.Member) bool { return m.Name == n.name })]
+		self := n.self()
 		cfg.Planner = n.sim.planner()
 		cfg.Quorum = &quorum.Config{
 			Self: self, Genesis: n.sim.voters, Heartbeat: n.sim.timing.Heartbeat,
@@ -213,6 +214,14 @@
 	n.sim.after(TickInterval, func() { n.tick(epoch) })
 }
 
+// self returns the node as a voter.
+func (n *node) self() pollenlatch.Member {
+	if n.member != nil {
+		return *n.member
+	}
+	return n.sim.voters[slices.IndexFunc(n.sim.voters, func(m pollenlatch.Member) bool { return m.Name == n.name })]
+}
+
 // deliver gives an event to the process, or keeps it while it is paused.
 func (n *node) deliver(epoch int, ev func() Event) {
 	if n.epoch != epoch || !n.up {
--- a/ctrl/voter.go
+++ b/ctrl/voter.go
@@ -19,6 +19,7 @@
 	log     *quorum.Replica
 	applied uint64 // index of the last entry given to the state
 	compact uint64 // index of the last snapshot
+	fed     bool   // the state came from deltas too and may be ahead of applied
 	halted  bool
 
 	lead      bool
@@ -201,6 +202,10 @@
 	}
 	v.ready, v.replan = true, true
 	v.behind, v.newest = v.now, newestTicket(v.state)
+	if v.fed {
+		v.fed = false
+		v.findMoves(v.state)
+	}
 	for _, i := range v.state.Instances() {
 		if i.Alive() {
 			wait := v.cfg.Timing.Lease
@@ -314,6 +319,9 @@
 	}
 	v.applied, v.compact = snap.Index, snap.Index
 	v.tail.reset(pollenlatch.Version(snap.Index))
+	if s.Version() < v.state.Version() {
+		return
+	}
 	v.findMoves(s)
 	v.adopt(s.Advance(pollenlatch.Version(snap.Index)))
 }
