ctrl: send missed commands again while newer ones follow

Cause: the leader sent again what a daemon lacked only when nothing at all had been sent to it for 300 ms. With a command more often than that, a daemon that missed one message, or started again with an empty state, never caught up: it got no lease, or kept an old state until its time of grace was over.

Change: the time counts from the sending of what the daemon has not shown yet.

Conclusion: the repair no longer depends on a pause in the commands.

--- a/ctrl/push.go
+++ b/ctrl/push.go
@@ -26,6 +26,11 @@
 	sent   pollenlatch.Version
 	sentAt pollenlatch.Mono
 
+	// The daemon is to show due, or what it lacks is sent again. The time is
+	// not that of the newest message: commands may follow each other for ever.
+	due   pollenlatch.Version
+	dueAt pollenlatch.Mono // when due was sent
+
 	loading pollenlatch.Version // version of the snapshot that it is receiving; 0 is none
 }
 
@@ -89,8 +94,15 @@
 		v.order = append(v.order, name)
 	}
 	s.held = held
-	if held > s.sent || (held < s.sent && v.now.Sub(s.sentAt) >= pushRetry) {
-		s.sent = held
+	since := s.dueAt
+	if v.rules.pushByLast {
+		since = s.sentAt
+	}
+	switch {
+	case held > s.sent, held < s.due && v.now.Sub(since) >= pushRetry:
+		s.sent, s.due = held, held
+	case held >= s.due && held < s.sent:
+		s.due, s.dueAt = s.sent, v.now
 	}
 	v.pushTo(name, s)
 }
@@ -125,7 +137,15 @@
 		}
 		v.reply(name, &pollenlatch.Message{Delta: &pollenlatch.Delta{From: s.sent, Commands: commands}})
 		s.sent += pollenlatch.Version(len(commands))
-		s.sentAt = v.now
+		s.note(v.now)
+	}
+}
+
+// note notes that something was sent.
+func (s *sub) note(now pollenlatch.Mono) {
+	s.sentAt = now
+	if s.held >= s.due || s.loading != 0 {
+		s.due, s.dueAt = s.sent, now
 	}
 }
 
@@ -159,7 +179,7 @@
 	v.reply(name, &pollenlatch.Message{Delta: &pollenlatch.Delta{Piece: &pollenlatch.Piece{
 		Version: v.offer.version, Offset: off, Total: uint64(len(v.offer.data)), Data: v.offer.data[off:end],
 	}}})
-	s.sentAt = v.now
+	s.note(v.now)
 }
 
 func (v *voter) isVoter(name string) bool {
