ctrl: replace the server's grants at the start of a lease

Cause: a process that got a new lease after losing one prolonged the grants that its server still had from the lease before. The protocol lets an expired set of grants be prolonged, so a server that had been frozen accepted requests with old fences from its socket buffer, although their shards had new owners.

Change: the grants of the present state, which may be none, are sent before anything is prolonged under a new lease.

Before: TestNewLeaseReplacesGrants fails (claims range 2, fence 38, is granted again). After: it passes.

Conclusion: a fence of an earlier lease is never valid again.

--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -45,6 +45,7 @@
 	partsOf  pollenlatch.Version
 	moves    map[lease.Key]*move
 	grants   []pollenlatch.Grant
+	granted  bool // grants were sent under the present lease
 	tickets  map[uint64]*submitted
 	draining bool
 	drainEnd pollenlatch.Mono
@@ -190,7 +191,13 @@
 	}
 	h.force = max(h.force, m.Force)
 	h.dirty = true
+	before := h.joined
 	h.activate()
+	if h.joined != before && !h.rules.keepGrants {
+		// The server must not keep what it was granted under an earlier lease.
+		me, _ := h.state.Lookup(h.cfg.Self.Name)
+		h.follow(me)
+	}
 	if _, end := h.held.Lease(); h.joined != 0 {
 		h.do(Extend{Until: end})
 	}
@@ -220,6 +227,7 @@
 	}
 	h.logf("lease ended", "lease", h.joined, "reason", reason)
 	h.joined = 0
+	h.granted = h.rules.keepGrants
 	h.held.Drop()
 	h.moves = nil
 	h.dirty = true
@@ -329,8 +337,8 @@
 		return true
 	})
 	h.moves = moves
-	if !slices.Equal(grants, h.grants) {
-		h.grants = grants
+	if !h.granted || !slices.Equal(grants, h.grants) {
+		h.grants, h.granted = grants, true
 		_, end := h.held.Lease()
 		h.do(Grant{Grants: grants, Until: end})
 	}
