--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -18,12 +18,13 @@
 	examples: []string{"bench board", "bench --duration 10s --seed 2 cratehaul"},
 	setup: func(f *flags) func(*env) error {
 		var shape, only string
-		var attempts uint64
+		var attempts, losses uint64
 		seed, duration := uint64(1), benchDuration
 		f.positional(&shape, "SHAPE")
 		f.uint64(&seed, "", "seed", "of arrivals, keys and service times; 1 if not given")
 		f.duration(&duration, "duration", "length of each run; 6s if not given")
 		f.uint64(&attempts, "", "attempts", "of a caller; 4 if not given")
+		f.uint64(&losses, "", "losses", "instead, lose so many instances and measure the recovery")
 		f.text(&only, "", "only", "part of the names of the experiments to run")
 		return func(e *env) error {
 			for _, s := range bench.Shapes {
@@ -33,9 +34,13 @@
 				quiet()
 				ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 				defer stop()
-				return bench.Run(ctx, e.stdout, bench.Config{
+				cfg := bench.Config{
 					Shape: s, Loads: bench.DefaultLoads, Duration: duration, Seed: seed, Attempts: int(attempts), Only: only,
-				})
+				}
+				if losses > 0 {
+					return bench.Losses(ctx, e.stdout, cfg, int(losses))
+				}
+				return bench.Run(ctx, e.stdout, cfg)
 			}
 			return exitf(exitUsage, "there is no shape %q; give board or cratehaul", shape)
 		}
