link: let the close race test wait for the network

Cause: two goroutines of TestCloseRace ran without a pause; on one processor the network was polled only every 10 ms and the test took 35 s. Change: each closing is let go at the start of an exchange; 600 exchanges rather than 300. Conclusion: the test is as strict and no longer starves the network.

--- a/link/pool_test.go
+++ b/link/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -119,25 +120,41 @@
 // side may close it under an exchange that the other has begun.
 func TestCloseRace(t *testing.T) {
 	client, owner, addr := pair(t, echo)
-	stop := make(chan struct{})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for i := 0; ; i++ {
+	var wg sync.WaitGroup
+	// Each is let go once for each exchange, at the moment when that begins: a
+	// loop without a pause would keep the scheduler from the network.
+	closer := func(f func()) chan<- struct{} {
+		c := make(chan struct{}, 1)
+		wg.Go(func() {
+			for range c {
+				f()
+			}
+		})
+		return c
+	}
+	reap := closer(func() { client.reap(time.Now().Add(time.Hour)) })
+	drain := closer(func() {
+		if s := owner.anyAccepted(); s != nil {
+			s.askDrain()
+		}
+	})
+	for i := range 600 {
+		select {
+		case reap <- struct{}{}:
+		default:
+		}
+		if i%2 == 0 {
 			select {
-			case <-stop:
-				return
+			case drain <- struct{}{}:
 			default:
 			}
-			client.reap(time.Now().Add(time.Hour))
-			if s := owner.anyAccepted(); s != nil && i%2 == 0 {
-				s.askDrain()
-			}
 		}
-	}()
-	for range 300 {
+		for range i % 7 { // moves the exchange against the closing
+			runtime.Gosched()
+		}
 		exchangeOnce(t, client, addr)
 	}
-	close(stop)
-	<-done
+	close(reap)
+	close(drain)
+	wg.Wait()
 }
