ctrl: tell verdicts for earlier processes apart

Cause: proposals were numbered from 1 in every process. A verdict on a ticket that a process had sent before it was killed went, by name, to the process that had taken its place, and answered the ticket with the same number there: an operator was told that a refused ticket was accepted.

Change: the number sent is combined with the incarnation of the process.

Before: TestLateVerdictOfEarlierProcess fails (a ticket got the verdict of another). After: it passes.

Conclusion: a verdict answers only the process that asked.

--- a/ctrl/fault_test.go
+++ b/ctrl/fault_test.go
@@ -9,6 +9,21 @@
 	"pollenlatch"
 )
 
+// The verdict on a ticket of an earlier process must not answer another ticket
+// that this process has sent: its operator would believe it accepted.
+func TestLateVerdictOfEarlierProcess(t *testing.T) {
+	s := settled(t, 22, 3, 3)
+	s.sync = 300 * time.Millisecond
+	s.submit("d1", 1, ticketOf(2, "of the earlier process"))
+	s.run(100 * time.Millisecond)
+	delete(s.verdicts, 1)
+	s.nodes["d1"].kill()
+	s.nodes["d1"].start()
+	s.submit("d1", 1, ticketOf(2, "of this process"))
+	require.True(t, s.until(5*time.Second, func() bool { _, ok := s.verdicts[1]; return ok }))
+	require.False(t, s.verdicts[1].Accepted, "a ticket got the verdict of another")
+}
+
 // A server that was frozen may have requests of the lease before in its socket
 // buffer. Prolonging its old grants under a new lease would let it run them.
 func TestNewLeaseReplacesGrants(t *testing.T) {
--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -398,7 +398,16 @@
 }
 
 func (h *holder) propose(id uint64, t pollenlatch.Ticket) {
-	h.send(h.ask(), &pollenlatch.Message{Propose: &pollenlatch.Propose{Seq: id, Ticket: t}})
+	h.send(h.ask(), &pollenlatch.Message{Propose: &pollenlatch.Propose{Seq: id ^ h.seqMask(), Ticket: t}})
+}
+
+// seqMask tells this process's proposals from those of an earlier process of
+// the same name, whose verdicts may still arrive.
+func (h *holder) seqMask() uint64 {
+	if h.rules.plainSeq {
+		return 0
+	}
+	return uint64(h.cfg.Self.Incarnation)
 }
 
 func (h *holder) resubmit() {
@@ -412,11 +421,12 @@
 }
 
 func (h *holder) decided(d *pollenlatch.Decided) {
-	if _, ok := h.tickets[d.Seq]; !ok || d.Verdict.Retry {
+	id := d.Seq ^ h.seqMask()
+	if _, ok := h.tickets[id]; !ok || d.Verdict.Retry {
 		return
 	}
-	delete(h.tickets, d.Seq)
-	h.do(Decide{ID: d.Seq, Verdict: d.Verdict})
+	delete(h.tickets, id)
+	h.do(Decide{ID: id, Verdict: d.Verdict})
 }
 
 func (h *holder) startDrain() {
