ctrl: let the lease of an instance that leaves with shards lapse

Cause: an instance that left at the end of its drain time while it still owned shards had its lease ended at once. Its shards were assigned without the wait for requests at a server that does not check fences, a server that does kept its grants until the end of the lease, and the instance itself passed its own checks until the answer came. So two servers could run requests of one key, and a version counted as in force while that instance still served with an older.

Change: traffic may do nothing under the lease once the instance asks to leave. The leader ends the lease at once only when the instance owns nothing; otherwise the lease lapses like that of a lost instance, with the same waits.

Before: TestLeavingWithShardsLeft fails (the lease is usable after Leaving). After: it passes.

Conclusion: a leaving instance is as safe as a lost one. Its last shards wait one lease longer, and maxrun at servers that do not check fences.

--- a/ctrl/fault_test.go
+++ b/ctrl/fault_test.go
@@ -9,6 +9,57 @@
 	"pollenlatch"
 )
 
+// unfenced returns a deployment whose servers do not check fences, and the
+// ranges that d1 owns.
+func unfenced(t *testing.T, seed uint64) (s *sim, owned []int) {
+	t.Helper()
+	s = newSim(seed, 3, 5, newPlanner)
+	for _, n := range s.nodes {
+		n.facts.Fenced = false
+		n.step(Announced{Now: s.now, Endpoint: n.facts})
+	}
+	require.True(t, s.until(5*time.Second, func() bool { return s.leader() != nil }))
+	accept(t, s, "v1", ticketOf(1, "first"))
+	require.True(t, s.until(10*time.Second, s.allOwned))
+	s.run(2 * time.Second)
+	for r := range simRanges {
+		if s.owners(rangeShard(r))[0] == "d1" {
+			owned = append(owned, r)
+		}
+	}
+	require.NotEmpty(t, owned)
+	return s, owned
+}
+
+const simMaxRun = 2 * time.Second // of the test ticket
+
+// requireKept checks that nobody else owns the ranges of d1 until then.
+func requireKept(t *testing.T, s *sim, owned []int, until pollenlatch.Mono) {
+	t.Helper()
+	s.check = func() {
+		for _, r := range owned {
+			if s.now < until {
+				for _, name := range s.owners(rangeShard(r)) {
+					require.Equal(t, "d1", name, "another owner before the old server's deadline")
+				}
+			}
+		}
+	}
+}
+
+// A daemon that leaves at the end of its drain time may have requests in flight
+// and shards left. It must act no more, and its shards must wait for them.
+func TestLeavingWithShardsLeft(t *testing.T) {
+	s, owned := unfenced(t, 20)
+	n := s.nodes["d1"]
+	requireKept(t, s, owned, s.now.Add(simMaxRun))
+	n.step(Leaving{Now: s.now})
+	require.Zero(t, n.access.Until, "it acts while the leader may end its lease")
+	require.True(t, s.until(time.Second, func() bool { return n.left }), "it does not leave")
+	n.kill()
+	require.True(t, s.until(simMaxRun+s.timing.Lease+lossTarget, s.allOwned))
+}
+
 // The verdict on a ticket of an earlier process must not answer another ticket
 // that this process has sent: its operator would believe it accepted.
 func TestLateVerdictOfEarlierProcess(t *testing.T) {
--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -460,8 +460,12 @@
 	h.do(Drained{})
 }
 
-// leave ends the lease. Traffic takes no new work from here on.
+// leave ends the lease. Traffic may do nothing under it from here on, since
+// the leader may end it before its answer arrives.
 func (h *holder) leave() {
+	if h.leaving {
+		return
+	}
 	h.leaving, h.closed, h.dirty = true, true, true
 	if h.joined == 0 {
 		h.left = true
@@ -481,7 +485,7 @@
 	if me, ok := r.state.Lookup(r.cfg.Self.Name); ok {
 		a.Self = me.ID
 	}
-	if r.joined != 0 {
+	if r.joined != 0 && (!r.leaving || r.rules.quickLeave) {
 		_, a.Until = r.held.Lease()
 	}
 	if r.voter != nil {
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -32,7 +32,7 @@
 		answer.Refused = pollenlatch.Ended
 	case m.Leave:
 		v.endLease(me)
-		answer.Refused = pollenlatch.Pending
+		answer.Refused = pollenlatch.Pending // not extended any more
 	default:
 		v.extend(m, me, answer)
 	}
@@ -68,7 +68,19 @@
 	v.proposeOnce("join "+m.Name, &pollenlatch.Command{Join: m.Join})
 }
 
+// endLease ends the lease of an instance that leaves. One that still owns
+// shards may have requests in flight: its lease lapses as that of a lost one,
+// which its server's grants outlast as little as any, and its shards are held
+// back for what its server may still run.
 func (v *voter) endLease(me pollenlatch.Instance) {
+	owns := false
+	v.state.Owned(me.ID, "", func(pollenlatch.Owner) bool {
+		owns = true
+		return false
+	})
+	if owns && !v.rules.quickLeave {
+		return
+	}
 	v.proposeOnce(fmt.Sprintf("expire %d", me.Lease), &pollenlatch.Command{Expire: &pollenlatch.Expire{
 		Instance: me.ID, Lease: me.Lease, Graceful: true,
 	}})
