ctrl: hold shards back for replaced maxruns and for clock drift

Cause: the shards of a lost instance whose server does not check fences were held back for the present maxrun, and for a former one only if the lease ended within 2.5 s of the ticket that lowered it. A request passed on just before a ticket lowered maxrun from 10 s to 1 s may run for 10 s; after a loss 3 s later its shard was assigned after 4 s. A new leader gives lagging daemons a new time of grace, which was not counted either. And maxrun was counted without the allowance for a server's clock that is 1% slow.

Change: a former maxrun counts from the last moment at which it may have been used, and each with the drift allowance of 2%.

Before: TestHoldOutlastsDeadlines fails with either rule broken (hold until 1.02 s instead of 10.1 s; 10.0 s instead of 10.1 s). After: it passes.

Conclusion: the wait outlasts each deadline that was given out, as long as the leader saw the ticket since its start.

--- a/ctrl/fault_test.go
+++ b/ctrl/fault_test.go
@@ -9,6 +9,25 @@
 	"pollenlatch"
 )
 
+// A server that does not check fences runs what it was given until the deadline
+// on its own clock, which may be 1% slow, by the maxrun that its daemon knew
+// then. Another owner before that would act beside it.
+func TestHoldOutlastsDeadlines(t *testing.T) {
+	const lag, long, short = 2500 * time.Millisecond, 10 * time.Second, time.Second
+	var h holds
+	h.shorten(0, long, lag)
+	for _, end := range []time.Duration{0, time.Second, lag, 3 * time.Second, 12 * time.Second, time.Minute} {
+		until := h.after(pollenlatch.Mono(end), short, rules{})
+		for passed := time.Duration(0); passed <= end; passed += 100 * time.Millisecond {
+			run := short
+			if passed <= lag {
+				run = long
+			}
+			require.GreaterOrEqual(t, until, pollenlatch.Mono(passed+run+run/100), "lease end %v, request of %v", end, passed)
+		}
+	}
+}
+
 // unfenced returns a deployment whose servers do not check fences, and the
 // ranges that d1 owns.
 func unfenced(t *testing.T, seed uint64) (s *sim, owned []int) {
--- a/ctrl/hold.go
+++ b/ctrl/hold.go
@@ -1,9 +1,11 @@
 package ctrl
 
 import (
+	"slices"
 	"time"
 
 	"pollenlatch"
+	"pollenlatch/lease"
 	"pollenlatch/state"
 )
 
@@ -23,7 +25,7 @@
 // pastRun is a longer maxrun that a ticket has replaced, and that daemons may
 // have used until then.
 type pastRun struct {
-	until pollenlatch.Mono
+	until pollenlatch.Mono // no request was passed on with it later
 	run   time.Duration
 }
 
@@ -43,24 +45,38 @@
 }
 
 // lagBound is how long a daemon may act by an older ticket.
-func (v *voter) lagBound() time.Duration { return v.cfg.Timing.Grace + v.cfg.Timing.Lease }
+func (v *voter) lagBound() time.Duration {
+	return v.cfg.Timing.Grace + lease.WithDrift(v.cfg.Timing.Lease)
+}
 
 // shorten notes that maxrun was this long until now.
 func (h *holds) shorten(now pollenlatch.Mono, run, lag time.Duration) {
+	h.runs = slices.DeleteFunc(h.runs, func(p pastRun) bool { return now >= p.until.Add(lease.WithDrift(p.run)) })
 	h.runs = append(h.runs, pastRun{until: now.Add(lag), run: run})
-	for len(h.runs) > 0 && now >= h.runs[0].until {
-		h.runs = h.runs[1:]
+}
+
+// prolong notes that daemons may go on for another lag with what they hold: a
+// new leader gives those that lag behind a ticket a new time of grace.
+func (h *holds) prolong(now pollenlatch.Mono, lag time.Duration) {
+	for i := range h.runs {
+		h.runs[i].until = max(h.runs[i].until, now.Add(lag))
 	}
 }
 
-// run returns the longest run of a request that was passed to a server until now.
-func (h *holds) run(now pollenlatch.Mono, present time.Duration) time.Duration {
+// after returns until when a server may run requests that it was given before
+// end. Its clock, which counts their deadlines, may be slower than this one.
+func (h *holds) after(end pollenlatch.Mono, present time.Duration, broken rules) pollenlatch.Mono {
+	drift := lease.WithDrift
+	if broken.noHoldDrift {
+		drift = func(d time.Duration) time.Duration { return d }
+	}
+	until := end.Add(drift(present))
 	for _, p := range h.runs {
-		if now < p.until {
-			present = max(present, p.run)
+		if !broken.shortHold {
+			until = max(until, min(end, p.until).Add(drift(p.run)))
 		}
 	}
-	return present
+	return until
 }
 
 // holdBack holds the shards of an instance whose lease ended at end. The hold
@@ -73,8 +89,7 @@
 	if v.holds.until == nil {
 		v.holds.until = make(map[pollenlatch.InstanceID]pollenlatch.Mono)
 	}
-	until := end.Add(v.holds.run(v.now, longestRun(s)))
-	v.holds.until[id] = max(until, v.holds.until[id])
+	v.holds.until[id] = max(v.holds.until[id], v.holds.after(end, longestRun(s), v.rules))
 }
 
 // at returns the instances whose former shards may not be assigned elsewhere.
--- a/ctrl/voter.go
+++ b/ctrl/voter.go
@@ -202,6 +202,7 @@
 	}
 	v.ready, v.replan = true, true
 	v.behind, v.newest = v.now, newestTicket(v.state)
+	v.holds.prolong(v.now, v.lagBound())
 	if v.fed {
 		v.fed = false
 		v.findMoves(v.state)
