ctrl: take no release while a former request may run

Cause: a daemon that starts again beside the same server gets its shards back and counts nothing in flight, although the server may still run what the process before it passed on. It released such a shard at once, and the next owner acted beside the server.

Change: while an instance is held back (its server does not check fences, its last lease ended less than maxrun ago) none of its shards is frozen to move and none of its releases counts.

Before: TestRestartedDaemonDoesNotReleaseTooEarly fails (another owner before the old server's deadline). After: it passes.

Conclusion: a word that nothing is in flight counts only for requests that the process can know of. A new leader does not know when leases ended, so moves from such servers wait up to the longest maxrun after an election.

--- a/ctrl/fault_test.go
+++ b/ctrl/fault_test.go
@@ -79,6 +79,23 @@
 	require.True(t, s.until(simMaxRun+s.timing.Lease+lossTarget, s.allOwned))
 }
 
+// A daemon that starts again does not count the requests that its predecessor
+// passed to the same server. If it released their shards, the next owner would
+// act beside that server.
+func TestRestartedDaemonDoesNotReleaseTooEarly(t *testing.T) {
+	s, owned := unfenced(t, 21)
+	n := s.nodes["d1"]
+	end := n.access.Until
+	requireKept(t, s, owned, end.Add(simMaxRun))
+	n.kill()
+	n.start()
+	back := func() bool { return len(s.owners(rangeShard(owned[0]))) > 0 }
+	require.True(t, s.until(simMaxRun, back), "the ranges do not come back")
+	n.step(Draining{Now: s.now})
+	require.True(t, s.until(simMaxRun+s.timing.Lease+lossTarget, func() bool { return n.drained }))
+	require.True(t, s.until(lossTarget, s.allOwned))
+}
+
 // The verdict on a ticket of an earlier process must not answer another ticket
 // that this process has sent: its operator would believe it accepted.
 func TestLateVerdictOfEarlierProcess(t *testing.T) {
--- a/ctrl/hold.go
+++ b/ctrl/hold.go
@@ -105,5 +105,12 @@
 	return held
 }
 
+// heldBack reports whether the server of an instance may still run requests
+// from before its present lease. A daemon that has started again does not count
+// them, so its word that nothing is in flight proves nothing until then.
+func (v *voter) heldBack(id pollenlatch.InstanceID) bool {
+	return v.now < v.holds.until[id] && !v.rules.releaseInHold
+}
+
 // forget drops the holds at the end of leadership.
 func (h *holds) forget() { h.until = nil }
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -145,7 +145,7 @@
 
 func (v *voter) onRelease(from string, m *pollenlatch.Release) {
 	me, ok := v.state.Lookup(from)
-	if !v.canGrant() || !ok || me.ID != m.Instance || me.Lease != m.Lease {
+	if !v.canGrant() || !ok || me.ID != m.Instance || me.Lease != m.Lease || v.heldBack(me.ID) {
 		return
 	}
 	var items []pollenlatch.AssignItem
@@ -236,6 +236,9 @@
 			})
 			continue
 		}
+		if m.From != m.To && v.heldBack(m.From) {
+			continue
+		}
 		freeze.Items = append(freeze.Items, v.freezeOf(m))
 	}
 	return assign, freeze
--- a/ctrl/reducer.go
+++ b/ctrl/reducer.go
@@ -33,6 +33,7 @@
 	joinAtOnce     bool // a holder uses a lease before it has applied the log up to it
 	noLeaderCheck  bool // a leader grants without asking whether a majority still follows it
 	latePublish    bool // traffic learns of a hand-over after the wait for its requests has begun
+	releaseInHold  bool // a restarted daemon may release what its predecessor's requests still run for
 	shortHold      bool // the wait for requests at lost servers forgets replaced maxruns
 	noHoldDrift    bool // that wait has no allowance for clock drift
 	quickLeave     bool // an instance that leaves while it owns shards ends its lease at once
