once: let an imported record replace a request that has not begun

Cause: a request may wait for a slot under its record while its shard moves away. A repeat of it may run at the next owner and its record come back with the shard. The import kept the waiting request's record instead; that request was refused for its old fence, its record was removed, and the next repeat ran a second time.

Change: only a request that has begun keeps its record against an import. One that has not can't begin any more: its fence is not that of the shard.

Before: TestImportReplacesRequestThatDidNotBegin fails (the run is offered again). After: it passes, as does go test -race ./once.

Conclusion: a record of a run is never lost to one that did not take place.

--- a/once/once_test.go
+++ b/once/once_test.go
@@ -385,3 +385,17 @@
 		}
 	})
 }
+
+// A request may wait for a slot here while its shard moves away, runs there for
+// a repeat, and comes back with the record. If the record were dropped in favour
+// of the waiting request, which is then refused, the next repeat would run again.
+func TestImportReplacesRequestThatDidNotBegin(t *testing.T) {
+	here, there := New(Config{}), New(Config{})
+	waiting := begin(t, here, request("a", "abc"))
+	complete(t, there, request("a", "abc"), "claimed")
+	data, err := there.Export(shard)
+	require.NoError(t, err)
+	require.NoError(t, here.Import(shard, data))
+	waiting.Fail(pollenlatch.NotRun)
+	requireAnswer(t, here, request("a", "abc"), "claimed")
+}
--- a/once/transfer.go
+++ b/once/transfer.go
@@ -177,7 +177,9 @@
 		index: -1,
 	}
 	if old := s.byID[rec.id]; old != nil {
-		if old.state == running {
+		// One that has not begun waits here under a former fence, so it will be
+		// refused, and its record would go with it.
+		if old.state == running && old.began {
 			return
 		}
 		s.remove(old)
