--- a/ctrl/fault_test.go
+++ b/ctrl/fault_test.go
@@ -9,6 +9,108 @@
 	"pollenlatch"
 )
 
+// A server that does not check fences runs what it was given until the deadline
+// on its own clock, which may be 1% slow, by the maxrun that its daemon knew
+// then. Another owner before that would act beside it.
+func TestHoldOutlastsDeadlines(t *testing.T) {
+	const lag, long, short = 2500 * time.Millisecond, 10 * time.Second, time.Second
+	var h holds
+	h.shorten(0, long, lag)
+	for _, end := range []time.Duration{0, time.Second, lag, 3 * time.Second, 12 * time.Second, time.Minute} {
+		until := h.after(pollenlatch.Mono(end), short, rules{})
+		for passed := time.Duration(0); passed <= end; passed += 100 * time.Millisecond {
+			run := short
+			if passed <= lag {
+				run = long
+			}
+			require.GreaterOrEqual(t, until, pollenlatch.Mono(passed+run+run/100), "lease end %v, request of %v", end, passed)
+		}
+	}
+}
+
+// unfenced returns a deployment whose servers do not check fences, and the
+// ranges that d1 owns.
+func unfenced(t *testing.T, seed uint64) (s *sim, owned []int) {
+	t.Helper()
+	s = newSim(seed, 3, 5, newPlanner)
+	for _, n := range s.nodes {
+		n.facts.Fenced = false
+		n.step(Announced{Now: s.now, Endpoint: n.facts})
+	}
+	require.True(t, s.until(5*time.Second, func() bool { return s.leader() != nil }))
+	accept(t, s, "v1", ticketOf(1, "first"))
+	require.True(t, s.until(10*time.Second, s.allOwned))
+	s.run(2 * time.Second)
+	for r := range simRanges {
+		if s.owners(rangeShard(r))[0] == "d1" {
+			owned = append(owned, r)
+		}
+	}
+	require.NotEmpty(t, owned)
+	return s, owned
+}
+
+const simMaxRun = 2 * time.Second // of the test ticket
+
+// requireKept checks that nobody else owns the ranges of d1 until then.
+func requireKept(t *testing.T, s *sim, owned []int, until pollenlatch.Mono) {
+	t.Helper()
+	s.check = func() {
+		for _, r := range owned {
+			if s.now < until {
+				for _, name := range s.owners(rangeShard(r)) {
+					require.Equal(t, "d1", name, "another owner before the old server's deadline")
+				}
+			}
+		}
+	}
+}
+
+// A daemon that leaves at the end of its drain time may have requests in flight
+// and shards left. It must act no more, and its shards must wait for them.
+func TestLeavingWithShardsLeft(t *testing.T) {
+	s, owned := unfenced(t, 20)
+	n := s.nodes["d1"]
+	requireKept(t, s, owned, s.now.Add(simMaxRun))
+	n.step(Leaving{Now: s.now})
+	require.Zero(t, n.access.Until, "it acts while the leader may end its lease")
+	require.True(t, s.until(time.Second, func() bool { return n.left }), "it does not leave")
+	n.kill()
+	require.True(t, s.until(simMaxRun+s.timing.Lease+lossTarget, s.allOwned))
+}
+
+// A daemon that starts again does not count the requests that its predecessor
+// passed to the same server. If it released their shards, the next owner would
+// act beside that server.
+func TestRestartedDaemonDoesNotReleaseTooEarly(t *testing.T) {
+	s, owned := unfenced(t, 21)
+	n := s.nodes["d1"]
+	end := n.access.Until
+	requireKept(t, s, owned, end.Add(simMaxRun))
+	n.kill()
+	n.start()
+	back := func() bool { return len(s.owners(rangeShard(owned[0]))) > 0 }
+	require.True(t, s.until(simMaxRun, back), "the ranges do not come back")
+	n.step(Draining{Now: s.now})
+	require.True(t, s.until(simMaxRun+s.timing.Lease+lossTarget, func() bool { return n.drained }))
+	require.True(t, s.until(lossTarget, s.allOwned))
+}
+
+// The verdict on a ticket of an earlier process must not answer another ticket
+// that this process has sent: its operator would believe it accepted.
+func TestLateVerdictOfEarlierProcess(t *testing.T) {
+	s := settled(t, 22, 3, 3)
+	s.sync = 300 * time.Millisecond
+	s.submit("d1", 1, ticketOf(2, "of the earlier process"))
+	s.run(100 * time.Millisecond)
+	delete(s.verdicts, 1)
+	s.nodes["d1"].kill()
+	s.nodes["d1"].start()
+	s.submit("d1", 1, ticketOf(2, "of this process"))
+	require.True(t, s.until(5*time.Second, func() bool { _, ok := s.verdicts[1]; return ok }))
+	require.False(t, s.verdicts[1].Accepted, "a ticket got the verdict of another")
+}
+
 // A server that was frozen may have requests of the lease before in its socket
 // buffer. Prolonging its old grants under a new lease would let it run them.
 func TestNewLeaseReplacesGrants(t *testing.T) {
--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -398,7 +398,16 @@
 }
 
 func (h *holder) propose(id uint64, t pollenlatch.Ticket) {
-	h.send(h.ask(), &pollenlatch.Message{Propose: &pollenlatch.Propose{Seq: id, Ticket: t}})
+	h.send(h.ask(), &pollenlatch.Message{Propose: &pollenlatch.Propose{Seq: id ^ h.seqMask(), Ticket: t}})
+}
+
+// seqMask tells this process's proposals from those of an earlier process of
+// the same name, whose verdicts may still arrive.
+func (h *holder) seqMask() uint64 {
+	if h.rules.plainSeq {
+		return 0
+	}
+	return uint64(h.cfg.Self.Incarnation)
 }
 
 func (h *holder) resubmit() {
@@ -412,11 +421,12 @@
 }
 
 func (h *holder) decided(d *pollenlatch.Decided) {
-	if _, ok := h.tickets[d.Seq]; !ok || d.Verdict.Retry {
+	id := d.Seq ^ h.seqMask()
+	if _, ok := h.tickets[id]; !ok || d.Verdict.Retry {
 		return
 	}
-	delete(h.tickets, d.Seq)
-	h.do(Decide{ID: d.Seq, Verdict: d.Verdict})
+	delete(h.tickets, id)
+	h.do(Decide{ID: id, Verdict: d.Verdict})
 }
 
 func (h *holder) startDrain() {
@@ -450,8 +460,12 @@
 	h.do(Drained{})
 }
 
-// leave ends the lease. Traffic takes no new work from here on.
+// leave ends the lease. Traffic may do nothing under it from here on, since
+// the leader may end it before its answer arrives.
 func (h *holder) leave() {
+	if h.leaving {
+		return
+	}
 	h.leaving, h.closed, h.dirty = true, true, true
 	if h.joined == 0 {
 		h.left = true
@@ -471,7 +485,7 @@
 	if me, ok := r.state.Lookup(r.cfg.Self.Name); ok {
 		a.Self = me.ID
 	}
-	if r.joined != 0 {
+	if r.joined != 0 && (!r.leaving || r.rules.quickLeave) {
 		_, a.Until = r.held.Lease()
 	}
 	if r.voter != nil {
