state: tell the planner which ranges changed

Cause: the planner follows the owner table by the changes since its last plan when the view can list them, but the state could not.

Change: a page keeps the version of its last change, and State.Changes lists the ranges of the pages after a version. The property test compares the list with what changed.

--- a/state/apply.go
+++ b/state/apply.go
@@ -75,8 +75,9 @@
 // edit is a private copy of a service's table.
 type edit struct {
 	service *service
-	pages   map[int]struct{} // pages that are already private
-	keys    bool             // the map of keys is already private
+	at      pollenlatch.Version // of this entry
+	pages   map[int]struct{}    // pages that are already private
+	keys    bool                // the map of keys is already private
 }
 
 func newDraft(s *State, index pollenlatch.Version) *draft {
@@ -141,7 +142,7 @@
 	}
 	c := *d.services[name]
 	c.pages = append([]*page(nil), c.pages...)
-	e := &edit{service: &c, pages: make(map[int]struct{})}
+	e := &edit{service: &c, at: d.version, pages: make(map[int]struct{})}
 	d.edited[name] = e
 	return e
 }
@@ -171,6 +172,7 @@
 	if old := e.service.pages[n]; old != nil {
 		p = old.clone()
 	}
+	p.at = e.at
 	e.service.pages[n] = p
 	e.pages[n] = struct{}{}
 	return p
--- a/state/load.go
+++ b/state/load.go
@@ -119,6 +119,7 @@
 		return nil, fmt.Errorf("more than %d ranges in all", MaxRanges)
 	}
 	svc := newService(img.Service)
+	svc.begun = s.version
 	if err := s.decodeTable(svc, img.Table); err != nil {
 		return nil, err
 	}
@@ -182,7 +183,7 @@
 		}
 		p := &svc.pages[r>>pageShift]
 		if *p == nil {
-			*p = new(page)
+			*p = &page{at: s.version}
 		}
 		(*p).set(r&pageMask, o)
 	}
--- a/state/property_test.go
+++ b/state/property_test.go
@@ -58,6 +58,7 @@
 	for _, k := range propKeys {
 		m.checkKey(old, m.w.s, k)
 	}
+	m.checkChanges(old, m.w.s)
 	for _, i := range old.Instances() {
 		if l := m.w.lease(i.ID); i.Alive() && l != i.Lease {
 			require.True(m.w.t, c.Expire != nil && c.Expire.Instance == i.ID && c.Expire.Lease == i.Lease, "lease %d ended without its Expire", i.Lease)
@@ -79,6 +80,28 @@
 }
 
 // checkKey follows one key over one command.
+// checkChanges fails when a planner that follows the changes would miss one.
+func (m *oracle) checkChanges(old, now *State) {
+	for _, svc := range now.Services() {
+		listed := make(pollenlatch.Set[pollenlatch.Shard])
+		ok := now.Changes(svc.Name, old.Version(), func(o pollenlatch.Owner) {
+			require.Equal(m.w.t, m.w.owner(o.Shard), o)
+			listed[o.Shard] = struct{}{}
+		})
+		_, existed := old.Service(svc.Name)
+		require.Equal(m.w.t, existed, ok, "changes of service %s", svc.Name)
+		if !ok {
+			continue
+		}
+		for r := range svc.Ranges() {
+			p := pollenlatch.Shard{Service: svc.Name, Range: pollenlatch.Range(r)}
+			before, _ := old.OwnerAt(p)
+			after, _ := now.OwnerAt(p)
+			require.True(m.w.t, before == after || listed.Has(p), "a change of %v is not listed", p)
+		}
+	}
+}
+
 func (m *oracle) checkKey(old, now *State, key string) {
 	a, _ := old.Owner("listing", key)
 	b, ok := now.Owner("listing", key)
--- a/state/table.go
+++ b/state/table.go
@@ -18,6 +18,7 @@
 // page holds the records of 512 ranges in 12 bytes each. It is immutable once
 // it belongs to a State.
 type page struct {
+	at     pollenlatch.Version // of its last change, or of the snapshot that it came with
 	fence  [pageSize]pollenlatch.Fence
 	holder [pageSize]holder
 	// next holds the targets of hand-overs. It is nil when no range of the
@@ -85,6 +86,7 @@
 // service is a service with its owner table.
 type service struct {
 	pollenlatch.Service
+	begun pollenlatch.Version          // of its creation, or of the snapshot that it came with
 	pages []*page                      // nil: no range of the page ever had an owner
 	keys  map[string]pollenlatch.Owner // records of hot keys
 }
@@ -137,6 +139,24 @@
 	return true
 }
 
+// Changes calls f for the ranges that may have changed after the version. It
+// returns false when the service is newer than that or does not exist.
+func (s *State) Changes(service string, since pollenlatch.Version, f func(pollenlatch.Owner)) bool {
+	svc, ok := s.services[service]
+	if !ok || since < svc.begun {
+		return false
+	}
+	for n, p := range svc.pages {
+		if p == nil || p.at <= since {
+			continue
+		}
+		for i := range min(pageSize, svc.Ranges()-n<<pageShift) {
+			f(svc.at(pollenlatch.Range(n<<pageShift | i)))
+		}
+	}
+	return true
+}
+
 // held calls f for every shard that the instance owns, or that nobody owns
 // when id is 0, until f returns false.
 func (s *service) held(id pollenlatch.InstanceID, f func(pollenlatch.Owner) bool) bool {
--- a/state/ticket.go
+++ b/state/ticket.go
@@ -237,7 +237,9 @@
 	for _, svc := range spec.Services {
 		old, ok := d.services[svc.Name]
 		if !ok {
-			d.services[svc.Name] = newService(svc)
+			added := newService(svc)
+			added.begun = d.version
+			d.services[svc.Name] = added
 			continue
 		}
 		c := *old
