--- a/quorum/cases_test.go
+++ b/quorum/cases_test.go
@@ -239,7 +239,7 @@
 	}
 	// A vote that was given to the old incarnation must not reach the new one.
 	late := Message{Kind: KindAppend, Term: 100, Incarnation: 1, To: self.Incarnation, Joined: true}
-	require.Empty(t, s.nodes[old].r.Step(Receive{s.nodes[old].r.now, "a", late}))
+	require.Empty(t, s.nodes[old].r.Step(Receive{s.nodes[old].r.now, s.nodes[l].self.Name, late}))
 }
 
 // A leader that counts on answers for longer than voters deny their votes
--- a/quorum/change_test.go
+++ b/quorum/change_test.go
@@ -83,6 +83,19 @@
 	s.changeTo(t, all)
 }
 
+// Naming the incarnations that the settings left open must not cost a voter.
+func TestNameIncarnations(t *testing.T) {
+	s, l := calm(t, 3, 2)
+	s.run(20)
+	require.Zero(t, s.nodes[l].r.Members()[0].Incarnation)
+	s.changeTo(t, voters("abc"))
+	for _, g := range s.nodes[l].r.log.groups {
+		require.Len(t, g.members, 3)
+	}
+	require.Equal(t, voters("abc"), s.nodes[l].r.Members())
+	s.converge()
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -36,6 +36,60 @@
 	require.Len(t, find[Apply](t, effects).Entries, 2)
 }
 
+// messages returns the kinds of the messages sent.
+func messages(effects []Effect) (kinds []Kind) {
+	for _, e := range effects {
+		if s, ok := e.(Send); ok {
+			kinds = append(kinds, s.Message.Kind)
+		}
+	}
+	return kinds
+}
+
+// An answer in a term that is not synced vouches for nothing; one that waits
+// for entries costs the leader its majority when the disk is slow.
+func TestHeartbeatAnswer(t *testing.T) {
+	g := voters("ab")
+	r := New(Config{Self: g[0], Genesis: g, Heartbeat: simHeartbeat, Election: simElection})
+	r.Step(Start{Now: 1, Hard: Hard{Term: 1, Seen: []string{"a"}}})
+	beat := Receive{2, "b", Message{Kind: KindHeartbeat, Term: 2, Incarnation: 2, Sent: 1}}
+	effects := r.Step(beat)
+	require.Empty(t, messages(effects))
+	require.Equal(t, []Kind{KindHeartbeatReply}, messages(r.Step(Persisted{3, find[Persist](t, effects).Seq, nil})))
+	add := Message{Kind: KindAppend, Term: 2, Incarnation: 2, Entries: []Entry{{Index: 1, Term: 2, Members: g}}}
+	effects = r.Step(Receive{4, "b", add})
+	require.Empty(t, messages(effects))
+	require.Equal(t, []Kind{KindHeartbeatReply}, messages(r.Step(beat)))
+	require.Equal(t, []Kind{KindAppendReply}, messages(r.Step(Persisted{5, find[Persist](t, effects).Seq, nil})))
+}
+
+// A voter that joined later cannot know what its name counted before, and so
+// must not let an empty folder in.
+func TestJoinedVoterDoesNotVouch(t *testing.T) {
+	g := voters("abc")
+	for _, seen := range []string{"b", "c"} {
+		r := New(Config{Self: g[1], Genesis: g, Heartbeat: simHeartbeat, Election: simElection})
+		r.Step(Start{Now: 1, Hard: Hard{Term: 1, Seen: []string{seen}}, Entries: []Entry{{Index: 1, Term: 1, Members: g}}})
+		answer := find[Send](t, r.Step(Receive{2, "a", Message{Kind: KindAsk, Incarnation: 9}})).Message
+		require.Equal(t, KindAnswer, answer.Kind)
+		require.Equal(t, seen != "b", answer.Reject)
+	}
+}
+
+// Entries that come again after the follower has dropped them must be
+// acknowledged, or the leader would send them for ever.
+func TestAppendBelowSnapshot(t *testing.T) {
+	g := voters("ab")
+	r := New(Config{Self: g[0], Genesis: g, Heartbeat: simHeartbeat, Election: simElection})
+	r.Step(Start{Now: 1, Hard: Hard{Term: 1, Seen: []string{"a"}}, Snapshot: Snapshot{Index: 5, Term: 1, Members: g}})
+	again := Message{Kind: KindAppend, Term: 1, Incarnation: 2, Index: 3, LogTerm: 1, Entries: []Entry{{Index: 4, Term: 1}, {Index: 5, Term: 1}, {Index: 6, Term: 1}}}
+	p := find[Persist](t, r.Step(Receive{2, "b", again}))
+	require.Len(t, p.Entries, 1)
+	reply := find[Send](t, r.Step(Persisted{3, p.Seq, nil})).Message
+	require.False(t, reply.Reject)
+	require.Equal(t, uint64(6), reply.Index)
+}
+
 func find[E Effect](t *testing.T, effects []Effect) E {
 	t.Helper()
 	for _, e := range effects {
