Make reserving of repeated fields cheaper

Cause: every decoded message, such as a request head, pays for it. Change: fields are found by slice index instead of a map, and messages without repeated fields inside are not walked. Conclusion: tests of the root package, quorum and store pass.

--- a/reserve.go
+++ b/reserve.go
@@ -15,19 +15,21 @@
 // wireField is a field that may hold repeated fields or is one itself.
 type wireField struct {
 	index    int
+	listed   bool // is or holds a repeated field
 	repeated bool
-	nested   bool // its elements, or it, are messages
+	nested   bool // its elements, or it, are messages with such fields
 }
 
-var wireFields sync.Map // reflect.Type of a struct -> map[proto.FieldNumber]wireField
+var wireFields sync.Map // reflect.Type of a struct -> []wireField by field number
 
-// fieldsOf returns the fields of a message type by number, numbered as the
-// decoder does: by tag, otherwise by position among the exported fields.
-func fieldsOf(t reflect.Type) map[proto.FieldNumber]wireField {
+// fieldsOf returns the fields of a message type that are or hold repeated
+// fields, numbered as the decoder does: by tag, otherwise by position among the
+// exported fields. Message types must not contain each other in a circle.
+func fieldsOf(t reflect.Type) []wireField {
 	if m, ok := wireFields.Load(t); ok {
-		return m.(map[proto.FieldNumber]wireField)
+		return m.([]wireField)
 	}
-	fields := make(map[proto.FieldNumber]wireField)
+	var fields []wireField
 	position := 0
 	for i := range t.NumField() {
 		f := t.Field(i)
@@ -48,8 +50,12 @@
 		if elem.Kind() == reflect.Pointer {
 			elem = elem.Elem()
 		}
-		w.nested = elem.Kind() == reflect.Struct
+		w.nested = elem.Kind() == reflect.Struct && elem != t && len(fieldsOf(elem)) > 0
 		if w.repeated || w.nested {
+			w.listed = true
+			for len(fields) <= int(number) {
+				fields = append(fields, wireField{})
+			}
 			fields[number] = w
 		}
 	}
@@ -77,33 +83,47 @@
 		return
 	}
 	fields := fieldsOf(v.Type())
-	found := make(map[proto.FieldNumber][][]byte)
+	if len(fields) == 0 {
+		return
+	}
+	counts := make([]int, len(fields))
+	var nested [][][]byte // values by field number
 	for _, body := range bodies {
 		for len(body) > 0 {
 			number, _, value, rest, err := proto.Parse(body)
 			if err != nil {
 				break
 			}
-			if _, ok := fields[number]; ok {
-				found[number] = append(found[number], value)
-			}
 			body = rest
+			if number >= proto.FieldNumber(len(fields)) || !fields[number].listed {
+				continue
+			}
+			counts[number]++
+			if fields[number].nested {
+				if nested == nil {
+					nested = make([][][]byte, len(fields))
+				}
+				nested[number] = append(nested[number], value)
+			}
 		}
 	}
-	for number, values := range found {
+	for number, count := range counts {
+		if count == 0 {
+			continue
+		}
 		w := fields[number]
 		f := v.Field(w.index)
 		if !w.repeated {
-			reserve(target(f), values...)
+			reserve(target(f), nested[number]...)
 			continue
 		}
 		n := f.Len()
-		f.Grow(len(values))
+		f.Grow(count)
 		if !w.nested {
 			continue
 		}
-		all := f.Slice(0, n+len(values))
-		for i, value := range values {
+		all := f.Slice(0, n+count)
+		for i, value := range nested[number] {
 			reserve(target(all.Index(n+i)), value)
 		}
 	}
