--- a/bench/bench.go
+++ b/bench/bench.go
@@ -173,7 +173,7 @@
 func (c Config) start(ctx context.Context, dir string) (*fleet.Fleet, error) {
 	cfg := fleet.Config{Dir: dir, ServiceTime: c.Shape.ServiceTime, Spread: 0.5, Seed: c.Seed}
 	for i := range c.Shape.Servers {
-		cfg.Places = append(cfg.Places, fleet.Place{
+		cfg.Instances = append(cfg.Instances, fleet.Instance{
 			Name: fmt.Sprintf("%s-%d", c.Shape.Service, i+1), DC: c.Shape.DCs[i%len(c.Shape.DCs)], Voter: i < 3,
 			Endpoint: pollenlatch.Endpoint{Service: c.Shape.Service, Slots: c.Shape.Slots, Conns: c.Shape.Conns, Fenced: true, Ready: true},
 		})
--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -88,7 +88,7 @@
 	cfg := fleet.Config{Dir: dir, ServiceTime: 2 * time.Millisecond, Spread: 0.5, Seed: 1}
 	dcs := []string{"howrah", "hooghly", "nadia", "bardhaman"}
 	for i := range 6 {
-		cfg.Places = append(cfg.Places, fleet.Place{
+		cfg.Instances = append(cfg.Instances, fleet.Instance{
 			Name: fmt.Sprintf("listing-%d", i+1), DC: dcs[i%len(dcs)], Voter: i < 3,
 			Endpoint: pollenlatch.Endpoint{Service: "listing", Slots: 10, Conns: 100, Fenced: true, Ready: true},
 		})
--- /dev/null
+++ b/daemon/server.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"pollenlatch"
+)
+
+// Announce implements pollenlatch.Facts.
+func (d *Daemon) Announce(e pollenlatch.Endpoint) {
+	d.mu.Lock()
+	d.endpoint, d.announced = e, true
+	d.mu.Unlock()
+	d.relay.Use(e)
+	d.gate.SetSlots(int(e.Slots))
+	d.loop.Announce(e)
+}
+
+// Lost implements pollenlatch.Facts.
+func (d *Daemon) Lost() {
+	d.mu.Lock()
+	d.endpoint.Ready = false
+	e := d.endpoint
+	d.mu.Unlock()
+	d.gate.SetSlots(0) // what waits is told now that it did not run
+	d.loop.Announce(e)
+}
+
+// server returns what is known of the server beside this daemon.
+func (d *Daemon) server() (pollenlatch.Endpoint, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpoint, d.announced
+}
+
+// defaultMaxRun is for a service that the state no longer names.
+const defaultMaxRun = 2 * time.Second
+
+func (d *Daemon) maxRun(service string) time.Duration {
+	if s, ok := d.desk.View().Service(service); ok && s.MaxRun > 0 {
+		return s.MaxRun
+	}
+	return defaultMaxRun
+}
+
+func (d *Daemon) queue(service string) int {
+	s, _ := d.desk.View().Service(service)
+	return int(s.Queue)
+}
+
+func (d *Daemon) limit(caller string) (perSecond float64, burst int) {
+	c, _ := d.desk.View().Caller(caller)
+	return c.Rate, int(c.Burst)
+}
+
+// measureInterval is how often the load of the server is reported.
+const measureInterval = time.Second
+
+// measure reports the load of the server beside this daemon until ctx ends.
+func (d *Daemon) measure(ctx context.Context) {
+	t := time.NewTicker(measureInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			running, waiting := d.gate.Load()
+			load := d.hot.Load(pollenlatch.System{}.Now())
+			seen := d.serve.Observe()
+			load.Median, load.Suspect = seen.Median, seen.Suspect
+			load.InFlight, load.Queued = uint32(running), uint32(waiting)
+			d.loop.Measure(load)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -22,8 +22,8 @@
 func BenchmarkPath(b *testing.B) {
 	cfg := board()
 	cfg.Dir = b.TempDir()
-	for i := range cfg.Places {
-		cfg.Places[i].Endpoint.Slots, cfg.Places[i].Endpoint.Conns = 100, 200
+	for i := range cfg.Instances {
+		cfg.Instances[i].Endpoint.Slots, cfg.Instances[i].Endpoint.Conns = 100, 200
 	}
 	f, err := Start(cfg)
 	require.NoError(b, err)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,8 +19,8 @@
 	"pollenlatch/store"
 )
 
-// Place is one instance of the deployment.
-type Place struct {
+// Instance describes one instance of the deployment.
+type Instance struct {
 	Name     string
 	DC       string
 	Endpoint pollenlatch.Endpoint // Service may be empty: no server beside the daemon
@@ -29,7 +29,7 @@
 
 // Config describes a deployment.
 type Config struct {
-	Places      []Place
+	Instances   []Instance
 	Dir         string        // holds the voters' data folders
 	ServiceTime time.Duration // of the sample servers
 	Spread      float64       // share of ServiceTime that varies
@@ -53,7 +53,7 @@
 
 // Node is one instance of a running deployment.
 type Node struct {
-	Place
+	Instance
 	Addrs  Addrs
 	Daemon *daemon.Daemon
 	Server *sample.Server // nil without an endpoint
@@ -74,12 +74,12 @@
 // Start starts every instance and returns without waiting for a leader.
 func Start(cfg Config) (*Fleet, error) {
 	f := &Fleet{cfg: cfg, nodes: make(map[string]*Node), ledger: new(sample.Ledger)}
-	for _, p := range cfg.Places {
+	for _, p := range cfg.Instances {
 		addrs, err := freeAddrs()
 		if err != nil {
 			return nil, err
 		}
-		f.nodes[p.Name] = &Node{Place: p, Addrs: addrs}
+		f.nodes[p.Name] = &Node{Instance: p, Addrs: addrs}
 		f.order = append(f.order, p.Name)
 		if !p.Voter {
 			continue
@@ -119,7 +119,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.nodes[name]
-	n := &Node{Place: old.Place, Addrs: old.Addrs, stopped: make(chan struct{})}
+	n := &Node{Instance: old.Instance, Addrs: old.Addrs, stopped: make(chan struct{})}
 	d, err := f.newDaemon(n)
 	if err != nil {
 		return fmt.Errorf("instance %s: %w", name, err)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -19,7 +19,7 @@
 func board() Config {
 	var cfg Config
 	for i, dc := range []string{"howrah", "hooghly", "nadia", "bardhaman"} {
-		cfg.Places = append(cfg.Places, Place{
+		cfg.Instances = append(cfg.Instances, Instance{
 			Name: fmt.Sprintf("listing-%d", i+1), DC: dc, Voter: i < 3,
 			Endpoint: pollenlatch.Endpoint{Service: "listing", Slots: 10, Conns: 100, Fenced: true, Ready: true},
 		})
