link: close sessions from their reading side

Cause: when yamux closes a session by itself, goroutines that wait in its streams spin until its reading side has ended. On one processor each takes 10 ms, so a lost peer with a hundred requests would stall a small instance for a second, longer than a lease. Change: Close ends the connection first and the reading side closes the session; a failed write waits for it; keep-alive pings are ours, and close in the same way.

--- a/link/accepted.go
+++ b/link/accepted.go
@@ -24,7 +24,7 @@
 type inSession struct {
 	node *Node
 	from string
-	mux  *yamux.Session
+	mux  *mux
 	left chan struct{} // closed when the node no longer counts the session
 
 	mu      sync.Mutex
@@ -39,7 +39,7 @@
 }
 
 // serveData runs an accepted session for requests until it ends.
-func (n *Node) serveData(mux *yamux.Session, h *hello) {
+func (n *Node) serveData(mux *mux, h *hello) {
 	s := &inSession{node: n, from: h.Name, mux: mux, streams: make(map[uint32]*inStream), left: make(chan struct{}), used: time.Now()}
 	defer func() { _ = mux.Close() }()
 	if !n.enter(s) {
--- a/link/answer_test.go
+++ b/link/answer_test.go
@@ -192,6 +192,29 @@
 	}
 }
 
+// A request to a daemon that froze must not wait for TCP to notice.
+func TestKeepAlive(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	peer, _ := testNode(t, "b", func(c *Config) { c.Requests = pollenlatch.HandlerFunc(echo) })
+	frozen := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, err = peer.handshake(c, false, 0)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+		frozen <- c // and nothing more
+	}()
+	client, _ := testNode(t, "a", func(c *Config) { c.KeepAlive = 10 * time.Millisecond })
+	_, err = client.Forward(t.Context(), l.Addr().String(), request(nil, 0))
+	requireFailure(t, err, pollenlatch.Unknown, pollenlatch.Broken)
+	require.NoError(t, (<-frozen).Close())
+}
+
 // A peer that holds the key but sends nonsense must not reach the handler.
 func TestControlRefusesNonsense(t *testing.T) {
 	whole, err := pollenlatch.Encode(renew(1))
--- a/link/conn.go
+++ b/link/conn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,14 +26,40 @@
 type conn struct {
 	net.Conn
 	timeout time.Duration
+	ended   chan struct{} // closed when a read has failed
+	once    sync.Once
 	header  [yamuxHeader]byte
 	held    bool
 	parts   [2][]byte
 	bufs    net.Buffers
 }
 
-// Write implements io.Writer.
+// Read implements io.Reader.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.once.Do(func() { close(c.ended) })
+	}
+	return n, err
+}
+
+// Write implements io.Writer. After an error the session's reading side has
+// ended too; see mux.
 func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.write(b)
+	if err != nil {
+		_ = c.Close()
+		t := time.NewTimer(2 * c.timeout) // the reading side may itself wait to write
+		defer t.Stop()
+		select {
+		case <-c.ended:
+		case <-t.C:
+		}
+	}
+	return n, err
+}
+
+func (c *conn) write(b []byte) (int, error) {
 	if !c.held {
 		if len(b) == yamuxHeader && b[1] == yamuxData && binary.BigEndian.Uint32(b[8:]) > 0 {
 			copy(c.header[:], b)
@@ -89,23 +116,69 @@
 func (logger) Printf(format string, v ...any) { klog.V(3).Infof(format, v...) }
 func (logger) Println(v ...any)               { klog.V(3).Infoln(v...) }
 
+// mux is a yamux session. When yamux closes a session by itself, every
+// goroutine that waits in a stream spins until the session's reading side has
+// ended; with one processor that takes 10 ms for each of them. So mux ends the
+// reading side first, and it is that side that closes the session.
+type mux struct {
+	*yamux.Session
+	conn *conn
+}
+
+// Close ends the session and waits for its goroutines.
+func (m *mux) Close() error {
+	_ = m.conn.Close()
+	<-m.CloseChan()
+	return m.Session.Close()
+}
+
 // session starts a yamux session on a connection whose handshake is done.
-func (n *Node) session(c net.Conn, dialled bool, p purpose) (*yamux.Session, error) {
+func (n *Node) session(c net.Conn, dialled bool, p purpose) (*mux, error) {
 	cfg := yamux.DefaultConfig()
 	cfg.LogOutput = nil
 	cfg.Logger = logger{}
 	cfg.StreamOpenTimeout = 0 // costs a goroutine for each stream; the write timeout covers a dead peer
 	cfg.StreamCloseTimeout = n.cfg.Idle
 	cfg.ConnectionWriteTimeout = n.cfg.WriteTimeout
+	cfg.EnableKeepAlive = false // see keepAlive
 	cfg.AcceptBacklog = lanes
 	if p == forData {
 		cfg.AcceptBacklog = acceptBacklog
 	}
-	cfg.EnableKeepAlive = p == forData
-	cfg.KeepAliveInterval = n.cfg.KeepAlive
-	w := &conn{Conn: c, timeout: n.cfg.WriteTimeout}
+	w := &conn{Conn: c, timeout: n.cfg.WriteTimeout, ended: make(chan struct{})}
+	start := yamux.Server
 	if dialled {
-		return yamux.Client(w, cfg)
+		start = yamux.Client
+	}
+	y, err := start(w, cfg)
+	if err != nil {
+		return nil, err
+	}
+	m := &mux{Session: y, conn: w}
+	if p == forData && !n.spawn(func() { n.keepAlive(m) }) {
+		_ = m.Close()
+		return nil, ErrClosed
+	}
+	return m, nil
+}
+
+// keepAlive closes a session for requests whose peer does not answer. Control
+// sessions need none: renewals do that work.
+func (n *Node) keepAlive(m *mux) {
+	t := time.NewTicker(n.cfg.KeepAlive)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-m.CloseChan():
+			return
+		case <-n.ctx.Done():
+			_ = m.Close()
+			return
+		}
+		if _, err := m.Ping(); err != nil {
+			_ = m.Close()
+			return
+		}
 	}
-	return yamux.Server(w, cfg)
 }
--- a/link/control.go
+++ b/link/control.go
@@ -196,7 +196,7 @@
 // ctlSession is one control session, dialled or accepted.
 type ctlSession struct {
 	node    *Node
-	session *yamux.Session
+	session *mux
 	peer    *peer // nil when accepted
 	streams [lanes]*yamux.Stream
 	locks   [lanes]sync.Mutex // one writer of a stream at a time
@@ -204,7 +204,7 @@
 }
 
 // serveControl runs an accepted control session until it ends.
-func (n *Node) serveControl(y *yamux.Session, h *hello) {
+func (n *Node) serveControl(y *mux, h *hello) {
 	s := &ctlSession{node: n, session: y}
 	if !n.register(s) {
 		_ = y.Close()
--- a/link/node.go
+++ b/link/node.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"k8s.io/klog/v2"
 )
 
@@ -188,7 +187,7 @@
 	}
 }
 
-func (n *Node) admit(c net.Conn) (*hello, *yamux.Session, error) {
+func (n *Node) admit(c net.Conn) (*hello, *mux, error) {
 	if err := tune(c, n.cfg.Unacked); err != nil {
 		return nil, nil, err
 	}
@@ -203,7 +202,7 @@
 }
 
 // dial opens a session to another daemon.
-func (n *Node) dial(ctx context.Context, addr string, p purpose) (*hello, *yamux.Session, error) {
+func (n *Node) dial(ctx context.Context, addr string, p purpose) (*hello, *mux, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.DialTimeout)
 	defer cancel()
 	c, err := n.cfg.Dial(ctx, addr)
--- a/link/pool.go
+++ b/link/pool.go
@@ -51,7 +51,7 @@
 
 	ready chan struct{} // closed when the dial has ended
 	err   error         // of the dial; read after ready
-	mux   *yamux.Session
+	mux   *mux
 	sig   *yamux.Stream
 	sigMu sync.Mutex
 
