state: scan holders of ranges only for the instance when a lease ends

Cause: ending a lease compares every range's holder, and looked for the target of a hand-over in the same loop; at the loss of a data centre this runs 612 times at the leader and at each daemon.

Change: the targets of hand-overs have a loop of their own, for pages that have any.

Figures (go test -run xxx -bench Expire/524288 -count 3 ./state, shared machine): 1.33 to 1.51 ms before, 0.97 to 1.22 ms after.

Conclusion: about a quarter less; the copies of about 100 of the 1,024 pages are most of the rest.

--- a/state/instance.go
+++ b/state/instance.go
@@ -106,8 +106,18 @@
 		if p == nil {
 			continue
 		}
-		for i, h := range p.holder {
-			if h&^flagNoRecords == holder(id) || (p.next != nil && p.next[i] == id) {
+		// Most pages hold nothing of the instance, so the loop over holders
+		// does nothing else.
+		for i := range p.holder {
+			if p.holder[i]&^flagNoRecords == holder(id) {
+				take(svc.at(pollenlatch.Range(n<<pageShift | i)))
+			}
+		}
+		if p.next == nil {
+			continue
+		}
+		for i, next := range p.next {
+			if next == id && p.holder[i]&^flagNoRecords != holder(id) {
 				take(svc.at(pollenlatch.Range(n<<pageShift | i)))
 			}
 		}
