scale: let the kernel count bytes and segments on loopback

Cause: the wrapper that counted bytes kept package link from writing a message with one system call, which made 5 segments of a renewal.

Change: TCP_INFO of the dialled sockets gives bytes and segments. Load reports have the default size of package sketch.

Conclusion: segments are now measured, and headers are calculated from them.

--- a/scale/control.go
+++ b/scale/control.go
@@ -12,8 +12,12 @@
 // renewRounds is how many renewals of each daemon one point averages.
 const renewRounds = 50
 
-// reportKeys is how many hot keys and ranges a daemon reports once a second.
-const reportKeys = 16
+// reportKeys and reportRanges are what package sketch puts into a report by
+// default: 8 hot keys, and ranges up to 640 bytes in all.
+const (
+	reportKeys   = 8
+	reportRanges = 16
+)
 
 // measureRenewals measures the leader's costs of renewals, and a daemon's own.
 func measureRenewals(ctx context.Context, r *Report) error {
@@ -94,8 +98,10 @@
 	l := &pollenlatch.Load{InFlight: 8, Queued: 2, Rate: 13_500, Median: 2 * time.Millisecond}
 	w.s.Owned(pollenlatch.InstanceID(i+1), listing, func(o pollenlatch.Owner) bool {
 		l.Ranges = append(l.Ranges, pollenlatch.RangeLoad{Service: listing, Range: o.Range, Rate: 126})
-		l.Hot = append(l.Hot, pollenlatch.HotKey{Service: listing, Key: fmt.Sprintf("lot-%06d", o.Range), Rate: 15})
-		return len(l.Ranges) < reportKeys
+		if len(l.Hot) < reportKeys {
+			l.Hot = append(l.Hot, pollenlatch.HotKey{Service: listing, Key: fmt.Sprintf("lot-%06d", o.Range), Rate: 15})
+		}
+		return len(l.Ranges) < reportRanges
 	})
 	return l
 }
--- a/scale/wire.go
+++ b/scale/wire.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pollenlatch"
 	"pollenlatch/link"
 )
@@ -20,33 +22,55 @@
 
 var sharedKey = bytes.Repeat([]byte("k"), 16)
 
-// counted counts the bytes of a connection in both directions.
-type counted struct {
-	net.Conn
-	n *atomic.Int64
+// sockets keeps the connections that were dialled. The kernel counts their
+// bytes: a wrapper would keep package link from writing a message at once.
+type sockets struct {
+	mu    sync.Mutex
+	conns []*net.TCPConn
+}
+
+func (s *sockets) dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		s.mu.Lock()
+		s.conns = append(s.conns, t)
+		s.mu.Unlock()
+	}
+	return c, nil
 }
 
-func (c counted) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.n.Add(int64(n))
-	return n, err
+// traffic is what went over connections in both directions.
+type traffic struct {
+	bytes    float64 // of the streams
+	segments float64 // acknowledgements included
 }
 
-func (c counted) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.n.Add(int64(n))
-	return n, err
+func (t traffic) since(before traffic) traffic {
+	return traffic{bytes: t.bytes - before.bytes, segments: t.segments - before.segments}
 }
 
-func counting(n *atomic.Int64) func(context.Context, string) (net.Conn, error) {
-	return func(ctx context.Context, addr string) (net.Conn, error) {
-		var d net.Dialer
-		c, err := d.DialContext(ctx, "tcp", addr)
+func (s *sockets) traffic() (t traffic, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		raw, err := c.SyscallConn()
 		if err != nil {
-			return nil, err
+			return traffic{}, err
+		}
+		var info *unix.TCPInfo
+		var get error
+		err = raw.Control(func(fd uintptr) { info, get = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+		if err = errors.Join(err, get); err != nil {
+			return traffic{}, err
 		}
-		return counted{c, n}, nil
+		t.bytes += float64(info.Bytes_acked + info.Bytes_received)
+		t.segments += float64(info.Segs_out + info.Segs_in)
 	}
+	return t, nil
 }
 
 // sessionSeconds is how long renewals are paced over real sessions.
@@ -83,8 +107,9 @@
 	if err != nil {
 		return err
 	}
-	var wire, answers atomic.Int64
-	before := heap()
+	var answers atomic.Int64
+	var dialled sockets
+	held := heap()
 	nodes := make([]*link.Node, 0, n)
 	defer func() {
 		for _, c := range nodes {
@@ -93,7 +118,7 @@
 	}()
 	for i := range n {
 		c, err := link.New(link.Config{
-			Group: "g", Name: daemonName(i), Incarnation: 1, Key: sharedKey, Dial: counting(&wire),
+			Group: "g", Name: daemonName(i), Incarnation: 1, Key: sharedKey, Dial: dialled.dial,
 			Control: func(link.Peer, *pollenlatch.Message) { answers.Add(1) },
 		})
 		if err != nil {
@@ -105,9 +130,12 @@
 	if err := await(ctx, func() bool { return answers.Load() >= int64(n) }); err != nil {
 		return fmt.Errorf("%d of %d control sessions answered: %w", answers.Load(), n, err)
 	}
-	r.add(Session, "heap and stacks of one control session, one end", "session", "KB", float64(n), (heap()-before)/float64(2*n)/1e3)
-	wire.Store(0)
+	r.add(Session, "heap and stacks of one control session, one end", "session", "KB", float64(n), (heap()-held)/float64(2*n)/1e3)
 	answers.Store(0)
+	before, err := dialled.traffic()
+	if err != nil {
+		return err
+	}
 	tick := time.NewTicker(time.Second / perSecond / 10)
 	defer tick.Stop()
 	start := cpu()
@@ -123,11 +151,15 @@
 	}
 	spent := cpu() - start
 	per := float64(want)
+	after, err := dialled.traffic()
+	if err != nil {
+		return err
+	}
+	went := after.since(before)
 	r.add(Session, "one renewal and its answer, one end", "session", "µs", float64(n), micros(spent)/per/2)
-	r.add(Session, "one renewal and its answer, bytes of the stream", "session", "B", float64(n), float64(wire.Load())/per)
-	// Each message is one segment, and each is acknowledged by the next one or
-	// by a segment of its own.
-	r.add(Session, "one renewal and its answer, with TCP/IP", "session", "B", float64(n), float64(wire.Load())/per+4*tcpBytes)
+	r.add(Session, "one renewal and its answer, bytes of the stream", "session", "B", float64(n), went.bytes/per)
+	r.add(Session, "one renewal and its answer, segments", "session", "1", float64(n), went.segments/per)
+	r.add(Session, "one renewal and its answer, with TCP/IP", "session", "B", float64(n), (went.bytes+went.segments*tcpBytes)/per)
 	return nil
 }
 
@@ -185,8 +217,8 @@
 	})
 }
 
-func forwardClient(wire *atomic.Int64) (*link.Node, error) {
-	return link.New(link.Config{Group: "g", Name: "entry", Incarnation: 1, Key: sharedKey, Dial: counting(wire)})
+func forwardClient(dialled *sockets) (*link.Node, error) {
+	return link.New(link.Config{Group: "g", Name: "entry", Incarnation: 1, Key: sharedKey, Dial: dialled.dial})
 }
 
 func forwardOne(ctx context.Context, c *link.Node, addr string) error {
@@ -202,8 +234,8 @@
 
 func forward(ctx context.Context, r *Report, server *link.Node, workers int) (err error) {
 	const requests = 100_000
-	var wire atomic.Int64
-	c, err := forwardClient(&wire)
+	var dialled sockets
+	c, err := forwardClient(&dialled)
 	if err != nil {
 		return err
 	}
@@ -215,7 +247,10 @@
 	if err := forwardOne(ctx, c, addr.String()); err != nil {
 		return err
 	}
-	wire.Store(0)
+	before, err := dialled.traffic()
+	if err != nil {
+		return err
+	}
 	var left atomic.Int64
 	left.Store(requests)
 	errs := make(chan error, workers)
@@ -238,11 +273,17 @@
 		return err
 	default:
 	}
+	after, err := dialled.traffic()
+	if err != nil {
+		return err
+	}
+	went := after.since(before)
 	x := float64(workers)
 	r.add(Forward, "both ends, one request", "request in flight", "µs", x, micros(spent)/requests)
 	r.add(Forward, "requests for each core, both ends", "request in flight", "1/s", x, requests/spent.Seconds())
 	r.add(Forward, "requests, elapsed time", "request in flight", "1/s", x, requests/took.Seconds())
-	r.add(Forward, "bytes of the stream, one request", "request in flight", "B", x, float64(wire.Load())/requests)
+	r.add(Forward, "bytes of the stream, one request", "request in flight", "B", x, went.bytes/requests)
+	r.add(Forward, "segments, one request", "request in flight", "1", x, went.segments/requests)
 	return nil
 }
 
@@ -251,8 +292,8 @@
 const ownerListeners = 32
 
 func manySessions(ctx context.Context, r *Report, n int) (err error) {
-	var wire atomic.Int64
-	c, err := forwardClient(&wire)
+	var dialled sockets
+	c, err := forwardClient(&dialled)
 	if err != nil {
 		return err
 	}
