daemon: keep records that arrive before the hand-over's log entry

Cause: idempotency records of a hand-over and the log reach the next owner over different sessions.

Change: an import is noted with the fence of the owner that sent it, and moved drops records only once the state has a later fence and another owner.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -99,6 +99,7 @@
 	endpoint  pollenlatch.Endpoint
 	announced bool
 	transfers calls[bool]
+	records   imports
 	fetches   calls[[]byte]
 
 	abort   sync.Once
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -82,24 +82,67 @@
 }
 
 func (d *Daemon) importRecords(from string, r *pollenlatch.Records) *pollenlatch.Received {
+	d.records.mu.Lock()
+	defer d.records.mu.Unlock()
 	err := d.once.Import(r.Shard, r.Data)
+	if err == nil {
+		d.records.note(r.Shard, r.Fence)
+	}
 	if err != nil {
 		klog.ErrorS(err, "idempotency records refused", "shard", r.Shard, "from", from)
 	}
 	return &pollenlatch.Received{Seq: r.Seq, OK: err == nil}
 }
 
+// imports are the shards whose records were taken over, by the fence of the
+// owner that sent them. The records come over another session than the log, so
+// they may be here before the entries that start the hand-over: those must not
+// drop them. The zero value has none.
+type imports struct {
+	mu     sync.Mutex
+	fences map[pollenlatch.Shard]pollenlatch.Fence
+}
+
+func (m *imports) note(s pollenlatch.Shard, f pollenlatch.Fence) {
+	if m.fences == nil {
+		m.fences = make(map[pollenlatch.Shard]pollenlatch.Fence)
+	}
+	m.fences[s] = max(f, m.fences[s])
+}
+
+// settle forgets the import of a shard when the state has a later fence. It
+// reports whether records of the shard, or of a key of the range, are still
+// waiting for their hand-over to end.
+func (m *imports) settle(s pollenlatch.Shard, now pollenlatch.Fence) (waiting bool) {
+	if f, ok := m.fences[s]; ok && now > f {
+		delete(m.fences, s)
+	}
+	for k := range m.fences {
+		if k == s || (s.Key == "" && k.Service == s.Service && k.Range == s.Range) {
+			return true
+		}
+	}
+	return false
+}
+
 // moved forgets the records of shards that another instance owns now, so that
 // they do not take the room of others. A range with a hot key that stays here
-// is left alone.
+// is left alone, and so are records that were sent here under the present
+// fence or a later one.
 func (d *Daemon) moved(keys []lease.Key) {
 	a := d.desk.Access()
 	if a.Self == 0 {
 		return
 	}
+	d.records.mu.Lock()
+	defer d.records.mu.Unlock()
 	for _, k := range keys {
 		o, ok := a.View.OwnerAt(k.Shard)
-		if !ok || o.Instance == 0 || o.Instance == a.Self || (k.Key == "" && d.ownsKey(a, k.Shard)) {
+		if !ok {
+			delete(d.records.fences, k.Shard) // a hot key whose own record is gone
+			continue
+		}
+		if d.records.settle(k.Shard, o.Fence) || o.Instance == 0 || o.Instance == a.Self || (k.Key == "" && d.ownsKey(a, k.Shard)) {
 			continue
 		}
 		d.once.Drop(k.Shard)
