--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,6 +88,7 @@
 	endpoint  pollenlatch.Endpoint
 	announced bool
 	transfers calls[bool]
+	records   imports
 	fetches   calls[*pollenlatch.Fetched]
 	copies    copies
 
