--- a/quorum/replica_test.go
+++ b/quorum/replica_test.go
@@ -31,6 +31,7 @@
 
 	effects = r.Step(Propose{Now: 4, ID: 7, Data: [][]byte{[]byte("x"), []byte("y")}})
 	require.Equal(t, uint64(2), find[Accepted](t, effects).Index)
+	require.Empty(t, r.Step(Persisted{Now: 4, Seq: find[Persist](t, effects).Seq - 1}))
 	require.Equal(t, uint64(1), r.Commit(), "committed before the sync")
 	effects = r.Step(Persisted{Now: 5, Seq: find[Persist](t, effects).Seq})
 	require.Len(t, find[Apply](t, effects).Entries, 2)
