Give up overdue hand-overs, batch assignments, tell servers the key

Cause: (1) a caller that reads its answer slowly holds up a hand-over without bound, and all other requests of the shard wait. (3) A request in the path form reached the server without its key. Change: the leader gives a hand-over up after 10 s (the owner goes on with a new fence); a plan is proposed in commands of 2,048 items, 65,536 at a time; the server gets Pollen-Service, -Key, -Caller, -Kind and -Attempt, and a key with control characters is refused. Conclusion: each of the three has a test.

--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -383,7 +383,7 @@
 		return
 	}
 	slices.SortFunc(items, func(a, b pollenlatch.Released) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Range, b.Range), cmp.Compare(a.Key, b.Key))
+		return compareShards(a.Shard, b.Shard)
 	})
 	me, _ := h.state.Lookup(h.cfg.Self.Name)
 	h.send(h.ask(), &pollenlatch.Message{Release: &pollenlatch.Release{Instance: me.ID, Lease: h.joined, Items: items}})
@@ -493,3 +493,7 @@
 	}
 	return a, true
 }
+
+func compareShards(a, b pollenlatch.Shard) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Range, b.Range), cmp.Compare(a.Key, b.Key))
+}
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pollenlatch"
@@ -191,20 +192,47 @@
 	}
 	v.replan, v.planAt = false, v.now
 	moves := v.cfg.Planner.Plan(v.placement())
+	moves = moves[:min(len(moves), planMost)]
 	v.remember(moves)
-	assign, freeze := v.commandsOf(moves)
-	var commands []*pollenlatch.Command
-	if len(assign.Items) > 0 {
-		commands = append(commands, &pollenlatch.Command{Assign: assign})
-	}
-	if len(freeze.Items) > 0 {
-		commands = append(commands, &pollenlatch.Command{Freeze: freeze})
-	}
+	commands := append(v.commandsOf(moves), v.overdue()...)
 	if len(commands) > 0 {
 		v.proposeOnce("plan", commands...)
 	}
 }
 
+const (
+	// planMost bounds the moves of one proposal, which would otherwise pass the
+	// log's bound of 32 MiB: a new service at the target size has 2^19 ranges.
+	planMost = 1 << 16
+	// batchItems bounds the items of one command, so that a command is about
+	// 60 KB and a voter's message holds it.
+	batchItems = 2048
+	// handOverMost is how long a hand-over may take before it is given up.
+	// Requests for the shard wait for it, and a caller that reads its answer
+	// slowly can hold it up.
+	handOverMost = 10 * time.Second
+)
+
+// overdue returns the commands that give up hand-overs which take too long: the
+// owner goes on, with a new fence.
+func (v *voter) overdue() []*pollenlatch.Command {
+	var late []pollenlatch.FreezeItem
+	for sh, m := range v.moving {
+		if v.now.Sub(m.since) < handOverMost {
+			continue
+		}
+		if o, ok := v.state.OwnerAt(sh); ok && o.Frozen() && o.Instance != 0 && o.Next != o.Instance {
+			late = append(late, pollenlatch.FreezeItem{Shard: sh, To: o.Instance, Expect: o.Fence})
+		}
+	}
+	slices.SortFunc(late, func(a, b pollenlatch.FreezeItem) int { return compareShards(a.Shard, b.Shard) })
+	var out []*pollenlatch.Command
+	for part := range slices.Chunk(late, batchItems) {
+		out = append(out, &pollenlatch.Command{Freeze: &pollenlatch.Freeze{Items: part}})
+	}
+	return out
+}
+
 // remember keeps the reasons of moves for operators.
 func (v *voter) remember(moves []pollenlatch.Move) {
 	if v.reasons == nil || len(v.reasons)+len(moves) > originsKept {
@@ -217,31 +245,36 @@
 
 func (v *voter) placement() pollenlatch.Placement {
 	busy := make(map[pollenlatch.InstanceID]int)
-	for _, owner := range v.moving {
-		busy[owner]++
+	for _, m := range v.moving {
+		busy[m.owner]++
 	}
 	return pollenlatch.Placement{View: v.state, Loads: v.loads, Held: v.holds.at(v.now), Busy: busy, Now: v.now}
 }
 
-func (v *voter) commandsOf(moves []pollenlatch.Move) (*pollenlatch.Assign, *pollenlatch.Freeze) {
-	assign, freeze := new(pollenlatch.Assign), new(pollenlatch.Freeze)
+// commandsOf returns the commands that start moves, in batches.
+func (v *voter) commandsOf(moves []pollenlatch.Move) []*pollenlatch.Command {
+	var assign []pollenlatch.AssignItem
+	var freeze []pollenlatch.FreezeItem
 	for _, m := range moves {
-		if m.From == 0 && m.Fence == 0 && v.arriving(m.Service) {
-			continue
-		}
-		if m.From == 0 {
+		switch {
+		case m.From != 0:
+			freeze = append(freeze, v.freezeOf(m))
+		case m.Fence == 0 && v.arriving(m.Service):
+		default:
 			o, _ := v.state.OwnerAt(m.Shard)
-			assign.Items = append(assign.Items, pollenlatch.AssignItem{
+			assign = append(assign, pollenlatch.AssignItem{
 				Shard: m.Shard, To: m.To, Expect: m.Fence, NoRecords: o.Last != 0,
 			})
-			continue
 		}
-		if m.From != m.To && v.heldBack(m.From) {
-			continue
-		}
-		freeze.Items = append(freeze.Items, v.freezeOf(m))
 	}
-	return assign, freeze
+	var out []*pollenlatch.Command
+	for part := range slices.Chunk(assign, batchItems) {
+		out = append(out, &pollenlatch.Command{Assign: &pollenlatch.Assign{Items: part}})
+	}
+	for part := range slices.Chunk(freeze, batchItems) {
+		out = append(out, &pollenlatch.Command{Freeze: &pollenlatch.Freeze{Items: part}})
+	}
+	return out
 }
 
 // arrivals is the count of a service's usable endpoints when its first
@@ -313,7 +346,9 @@
 	for _, sh := range changed {
 		o, ok := s.OwnerAt(sh)
 		if ok && o.Frozen() {
-			v.moving[sh] = o.Instance
+			if _, ok := v.moving[sh]; !ok {
+				v.moving[sh] = moving{owner: o.Instance, since: v.now}
+			}
 			continue
 		}
 		delete(v.moving, sh)
@@ -327,11 +362,11 @@
 
 // findMoves lists the hand-overs in progress of a state that was loaded whole.
 func (v *voter) findMoves(s *state.State) {
-	v.moving = make(map[pollenlatch.Shard]pollenlatch.InstanceID)
+	v.moving = make(map[pollenlatch.Shard]moving)
 	for _, svc := range s.Services() {
 		s.Shards(svc.Name, func(o pollenlatch.Owner) bool {
 			if o.Frozen() {
-				v.moving[o.Shard] = o.Instance
+				v.moving[o.Shard] = moving{owner: o.Instance, since: v.now}
 			}
 			return true
 		})
--- /dev/null
+++ b/ctrl/limit_test.go
@@ -0,0 +1,52 @@
+package ctrl
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
+)
+
+// A request that never ends must not keep its shard's other requests waiting
+// for ever: the hand-over is given up and the owner goes on.
+func TestOverdueHandOverIsGivenUp(t *testing.T) {
+	s := settled(t, 8, 3, 3)
+	s.work = time.Hour
+	n := s.nodes["d1"]
+	owned := pollenlatch.Shard{}
+	n.r.State().Owned(n.access.Self, "", func(o pollenlatch.Owner) bool {
+		owned = o.Shard
+		return false
+	})
+	before, _ := n.r.State().OwnerAt(owned)
+	n.facts.Draining = true
+	n.step(Announced{Now: s.now, Endpoint: n.facts})
+	frozen := func() bool { o, _ := n.r.State().OwnerAt(owned); return o.Frozen() }
+	require.True(t, s.until(time.Second, frozen), "no hand-over")
+	n.facts.Draining = false
+	n.step(Announced{Now: s.now, Endpoint: n.facts})
+	require.True(t, s.until(handOverMost+time.Second, func() bool { return !frozen() }), "it is never given up")
+	after, _ := n.r.State().OwnerAt(owned)
+	require.Equal(t, before.Instance, after.Instance)
+	require.Greater(t, after.Fence, before.Fence, "a late release of the old fence would still count")
+}
+
+// The first assignment of a large service passes the log's bounds when it is
+// proposed as one command.
+func TestFirstAssignmentIsBatched(t *testing.T) {
+	v := newSim(1, 1, 0, newPlanner).nodes["v1"].r.voter
+	moves := make([]pollenlatch.Move, planMost)
+	for i := range moves {
+		moves[i] = pollenlatch.Move{Shard: pollenlatch.Shard{Service: "listing", Range: pollenlatch.Range(i)}, To: 1, Fence: 1}
+	}
+	items := 0
+	for _, c := range v.commandsOf(moves) {
+		b, err := pollenlatch.Encode(c)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(b), deltaBytes, "a command does not fit a delta")
+		items += len(c.Assign.Items)
+	}
+	require.Equal(t, planMost, items)
+}
--- a/ctrl/voter.go
+++ b/ctrl/voter.go
@@ -31,8 +31,8 @@
 
 	granter  lease.Granter
 	nextID   uint64
-	proposed map[uint64]string // proposal in the log's hands -> what it is for
-	pending  map[string]uint64 // what is being proposed -> its index; 0 before it has one
+	proposed map[uint64]proposal // in the log's hands
+	pending  map[string]uint64   // what is being proposed -> its last index; 0 before it has one
 	subs     map[string]*sub
 	order    []string // names of subs, so that messages go out in the same order each run
 	tail     tail
@@ -42,10 +42,10 @@
 	holds    holds
 	behind   pollenlatch.Mono // when the newest ticket was applied
 	newest   pollenlatch.Version
-	moving   map[pollenlatch.Shard]pollenlatch.InstanceID // hand-overs in progress, by present owner
-	splits   map[lease.Key]string                         // ranges frozen for one of their keys
-	reasons  map[pollenlatch.Shard]string                 // of the planner's newest moves
-	arrivals map[string]arrivals                          // of services without a first assignment
+	moving   map[pollenlatch.Shard]moving // hand-overs in progress
+	splits   map[lease.Key]string         // ranges frozen for one of their keys
+	reasons  map[pollenlatch.Shard]string // of the planner's newest moves
+	arrivals map[string]arrivals          // of services without a first assignment
 	planAt   pollenlatch.Mono
 	replan   bool
 	force    pollenlatch.Version // version held by every daemon with a lease, as of forceAt
@@ -55,6 +55,18 @@
 	stepping bool
 }
 
+// proposal is what was given to the log.
+type proposal struct {
+	what     string // its purpose
+	commands uint64
+}
+
+// moving is a hand-over in progress.
+type moving struct {
+	owner pollenlatch.InstanceID // present one
+	since pollenlatch.Mono
+}
+
 // document is a ticket as sent. Two documents with the same number get verdicts
 // of their own.
 type document struct {
@@ -71,7 +83,7 @@
 func newVoter(r *Reducer, cfg quorum.Config) *voter {
 	return &voter{
 		Reducer: r, log: quorum.New(cfg),
-		moving: make(map[pollenlatch.Shard]pollenlatch.InstanceID),
+		moving: make(map[pollenlatch.Shard]moving),
 	}
 }
 
@@ -141,14 +153,14 @@
 	case quorum.Restore:
 		v.restore(e.Snapshot)
 	case quorum.Accepted:
-		if what, ok := v.proposed[e.ID]; ok {
+		if p, ok := v.proposed[e.ID]; ok {
 			delete(v.proposed, e.ID)
-			v.pending[what] = e.Index
+			v.pending[p.what] = e.Index + p.commands - 1
 		}
 	case quorum.Rejected:
-		if what, ok := v.proposed[e.ID]; ok {
+		if p, ok := v.proposed[e.ID]; ok {
 			delete(v.proposed, e.ID)
-			delete(v.pending, what)
+			delete(v.pending, p.what)
 		}
 	case quorum.Role:
 		v.role(e)
@@ -176,7 +188,7 @@
 	}
 	v.electedAt = v.now
 	v.readyAt = v.log.LastIndex()
-	v.proposed = make(map[uint64]string)
+	v.proposed = make(map[uint64]proposal)
 	v.pending = make(map[string]uint64)
 	v.subs = make(map[string]*sub)
 	v.waiters = make(map[document][]waiter)
@@ -355,7 +367,7 @@
 		data = append(data, b)
 	}
 	v.nextID++
-	v.proposed[v.nextID] = what
+	v.proposed[v.nextID] = proposal{what: what, commands: uint64(len(data))}
 	v.pending[what] = 0
 	v.step(quorum.Propose{Now: v.now, ID: v.nextID, Data: data})
 }
--- a/local/message.go
+++ b/local/message.go
@@ -36,6 +36,11 @@
 	HeaderRange    = "Pollen-Range"
 	HeaderDeadline = "Pollen-Deadline"
 	HeaderOutcome  = "Pollen-Outcome"
+	HeaderService  = "Pollen-Service"
+	HeaderKey      = "Pollen-Key"
+	HeaderCaller   = "Pollen-Caller"
+	HeaderKind     = "Pollen-Kind"
+	HeaderAttempt  = "Pollen-Attempt"
 )
 
 // Errors of announcements and of headers.
--- a/relay/header.go
+++ b/relay/header.go
@@ -31,6 +31,11 @@
 	local.HeaderRange:     true,
 	local.HeaderDeadline:  true,
 	local.HeaderOutcome:   true,
+	local.HeaderService:   true,
+	local.HeaderKey:       true,
+	local.HeaderCaller:    true,
+	local.HeaderKind:      true,
+	local.HeaderAttempt:   true,
 	headerOwner:           true,
 }
 
@@ -59,6 +64,11 @@
 	case r.Length > 0 && r.Body == nil:
 		return bad("body is missing")
 	}
+	for _, h := range heads(r) {
+		if strings.ContainsFunc(h.Value, func(c rune) bool { return c < ' ' || c == 0x7f }) {
+			return bad("control character in " + h.Name)
+		}
+	}
 	for _, h := range r.Header {
 		if !isToken(h.Name) || strings.ContainsAny(h.Value, "\r\n\x00") {
 			return bad("malformed header " + strconv.Quote(h.Name))
@@ -106,6 +116,26 @@
 		h.Set(local.HeaderRange, local.FormatRange(x.r.Shard))
 	}
 	h.Set(local.HeaderDeadline, strconv.FormatInt(x.limit.UnixMilli(), 10))
+	for _, f := range heads(x.r) {
+		if f.Value != "" {
+			h.Set(f.Name, f.Value)
+		}
+	}
+}
+
+// heads returns what the server is told of the request besides its own
+// headers: the path form of a request has the key in no other place.
+func heads(r *pollenlatch.Request) []pollenlatch.Header {
+	out := []pollenlatch.Header{
+		{Name: local.HeaderService, Value: r.Service},
+		{Name: local.HeaderKey, Value: r.Key},
+		{Name: local.HeaderCaller, Value: r.Caller},
+		{Name: local.HeaderKind, Value: r.Kind},
+	}
+	if r.Attempt > 1 {
+		out = append(out, pollenlatch.Header{Name: local.HeaderAttempt, Value: strconv.FormatUint(uint64(r.Attempt), 10)})
+	}
+	return out
 }
 
 // responseHeader returns the headers that are passed on.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -188,6 +188,11 @@
 			r.URI = "/ HTTP/1.1\r\n\r\nGET /"
 			return r
 		}, notRun, pollenlatch.BadRequest, 400},
+		{"line break in the key", &fake{}, func() *pollenlatch.Request {
+			r := get()
+			r.Key = "lot-1\r\nPollen-Fence: 99"
+			return r
+		}, notRun, pollenlatch.BadRequest, 400},
 		{"two headers in one", &fake{}, func() *pollenlatch.Request {
 			r := get()
 			r.Header = []pollenlatch.Header{{Name: "A", Value: "b\r\nC: d"}}
@@ -325,11 +330,13 @@
 		r := post("abc")
 		r.Length = -1
 		r.Shard.Key = "a b"
+		r.Key, r.Caller, r.Kind = "a b", "mill", "view"
 		r.Header = []pollenlatch.Header{
 			{Name: "connection", Value: "keep-alive, x-hop"},
 			{Name: "X-Hop", Value: "1"},
 			{Name: "Te", Value: "trailers"},
 			{Name: "pollen-fence", Value: "99"},
+			{Name: "Pollen-Key", Value: "forged"},
 			{Name: "Host", Value: "board.example"},
 			{Name: "Cookie", Value: "a=b"},
 			{Name: "X-Many", Value: "1"},
@@ -344,6 +351,7 @@
 		got.Header.Del(local.HeaderDeadline)
 		require.Equal(t, http.Header{
 			"Cookie": {"a=b"}, "X-Many": {"1", "2"}, local.HeaderFence: {"20"}, local.HeaderRange: {"3;key=a+b"},
+			local.HeaderService: {r.Service}, local.HeaderKey: {r.Key}, local.HeaderCaller: {r.Caller}, local.HeaderKind: {r.Kind},
 		}, got.Header)
 		require.ElementsMatch(t, []pollenlatch.Header{
 			{Name: "Set-Cookie", Value: "a=b; Path=/"}, {Name: "Set-Cookie", Value: "c=d"}, {Name: "X-Kept", Value: "1"},
