ctrl: read the voters once for each push

Cause: push copied the list of voters for every daemon.

Change: the list is read once and handed to pushTo.

--- a/ctrl/push.go
+++ b/ctrl/push.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"slices"
 	"time"
 
 	"pollenlatch"
@@ -120,7 +121,7 @@
 	if held > s.sent || (held < s.sent && v.now.Sub(s.sentAt) >= pushRetry) {
 		s.sent = held
 	}
-	v.pushTo(name, s)
+	v.pushTo(name, s, v.log.Members())
 }
 
 // push sends new commands to every daemon. A voter applies its own log.
@@ -128,13 +129,14 @@
 	if !v.lead {
 		return
 	}
+	members := v.log.Members()
 	for _, name := range v.order {
-		v.pushTo(name, v.subs[name])
+		v.pushTo(name, v.subs[name], members)
 	}
 }
 
-func (v *voter) pushTo(name string, s *sub) {
-	if v.isVoter(name) {
+func (v *voter) pushTo(name string, s *sub, voters []pollenlatch.Member) {
+	if slices.ContainsFunc(voters, func(m pollenlatch.Member) bool { return m.Name == name }) {
 		s.sent = v.state.Version()
 		return
 	}
@@ -192,12 +194,3 @@
 	}}})
 	s.sentAt = v.now
 }
-
-func (v *voter) isVoter(name string) bool {
-	for _, m := range v.log.Members() {
-		if m.Name == name {
-			return true
-		}
-	}
-	return false
-}
