front: let callers leave kept connections before a shutdown closes them

Cause: Shutdown closed idle connections at once.

Change: Shutdown first refuses new connections, which callers see as proven not-run, and says Connection: close with the next answer on each open one. It waits up to 1 s (Config.Linger) until callers have closed them. A connection that is idle for that whole time can still be closed while a request is on its way; HTTP/1.1 has no way to exclude that.

TestShutdownKeepsIdleConnections fails without the change.

--- a/front/bound.go
+++ b/front/bound.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // hardConns is how many times the bound on connections may be reached. Above
@@ -16,12 +17,20 @@
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+	left   atomic.Bool
 }
 
 func newBounded(l net.Listener, n int) *bounded {
 	return &bounded{Listener: l, slots: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
+// leave refuses new connections from now on. Accept waits until Close, so that
+// the server goes on with the connections that it has.
+func (b *bounded) leave() {
+	b.left.Store(true)
+	_ = b.Listener.Close()
+}
+
 // Accept implements net.Listener.
 func (b *bounded) Accept() (net.Conn, error) {
 	select {
@@ -32,6 +41,9 @@
 	c, err := b.Listener.Accept()
 	if err != nil {
 		<-b.slots
+		if b.left.Load() {
+			<-b.closed
+		}
 		return nil, err
 	}
 	return &counted{Conn: c, slots: b.slots}, nil
@@ -40,7 +52,11 @@
 // Close implements net.Listener.
 func (b *bounded) Close() error {
 	b.once.Do(func() { close(b.closed) })
-	return b.Listener.Close()
+	err := b.Listener.Close()
+	if b.left.Load() {
+		return nil
+	}
+	return err
 }
 
 // counted gives its slot back when it closes.
--- a/front/server.go
+++ b/front/server.go
@@ -24,6 +24,7 @@
 	DefaultHeaderTimeout = 5 * time.Second
 	DefaultIdle          = time.Minute
 	DefaultStall         = 10 * time.Second
+	DefaultLinger        = time.Second
 	DefaultMaxHeader     = 32 << 10
 	DefaultMaxBody       = 64 << 20
 	DefaultMaxConns      = 10_000
@@ -46,6 +47,7 @@
 	HeaderTimeout time.Duration // longest time to receive a head
 	Idle          time.Duration // longest wait for the next request on a connection
 	Stall         time.Duration // longest time without a byte of an answer moving
+	Linger        time.Duration // longest time that idle connections stay open in a shutdown
 	MaxHeader     int           // bytes of a head
 	MaxBody       int64         // bytes of a body
 	MaxConns      int           // connections; callers above it are told to go elsewhere
@@ -61,6 +63,7 @@
 		{&c.HeaderTimeout, DefaultHeaderTimeout},
 		{&c.Idle, DefaultIdle},
 		{&c.Stall, DefaultStall},
+		{&c.Linger, DefaultLinger},
 	} {
 		if *v.d == 0 {
 			*v.d = v.n
@@ -86,7 +89,7 @@
 	switch {
 	case c.Control == nil || c.Handler == nil:
 		return fmt.Errorf("%w: control or handler is missing", ErrConfig)
-	case c.Timeout < 0 || c.MaxTimeout < 0 || c.HeaderTimeout < 0 || c.Idle < 0 || c.Stall < 0:
+	case c.Timeout < 0 || c.MaxTimeout < 0 || c.HeaderTimeout < 0 || c.Idle < 0 || c.Stall < 0 || c.Linger < 0:
 		return fmt.Errorf("%w: a duration is negative", ErrConfig)
 	case c.MaxHeader < 0 || c.MaxBody < 0 || c.MaxConns < 0:
 		return fmt.Errorf("%w: a bound is negative", ErrConfig)
@@ -103,6 +106,9 @@
 	meter *meter
 	done  chan struct{}
 	once  sync.Once // closes done
+
+	leaving  atomic.Bool
+	listener atomic.Pointer[bounded]
 }
 
 // NewServer returns a server that does not listen yet.
@@ -137,7 +143,9 @@
 // Serve takes requests from l until Shutdown or Close. It returns nil after those.
 func (s *Server) Serve(l net.Listener) error {
 	defer s.once.Do(func() { close(s.done) })
-	err := s.http.Serve(newBounded(l, hardConns*s.cfg.MaxConns))
+	b := newBounded(l, hardConns*s.cfg.MaxConns)
+	s.listener.Store(b)
+	err := s.http.Serve(b)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -148,7 +156,35 @@
 func (s *Server) Done() <-chan struct{} { return s.done }
 
 // Shutdown stops accepting and waits until the running requests are answered.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Idle connections stay open for up to Config.Linger, and the next answer on
+// each says that it is the last: a caller that sends a request at the moment in
+// which its connection is closed can't know whether that ran.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.leaving.Store(true)
+	if l := s.listener.Load(); l != nil {
+		l.leave()
+		s.linger(ctx)
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// lingerPoll is the interval of looks at the open connections.
+const lingerPoll = 5 * time.Millisecond
+
+// linger waits until callers have closed their connections, at most Linger.
+func (s *Server) linger(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Linger)
+	defer cancel()
+	t := time.NewTicker(lingerPoll)
+	defer t.Stop()
+	for s.conns.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
 // Close ends all connections at once.
 func (s *Server) Close() error { return s.http.Close() }
@@ -158,6 +194,9 @@
 	now := time.Now()
 	a := &answer{server: s, writer: w, start: now}
 	defer a.record()
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if n := s.conns.Load(); n > int64(s.cfg.MaxConns) {
 		f := failed(pollenlatch.Limited, http.StatusServiceUnavailable, "%d connections are open", n)
 		f.After = retryAfter
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -423,3 +423,31 @@
 	require.Contains(t, b.String(), `pollenlatch_front_answers_total{service="other",outcome="run",reason=""} 256`)
 	require.Contains(t, b.String(), `pollenlatch_front_answers_total{service="s0",outcome="not-run",reason="other"} 512`)
 }
+
+// A connection that a shutdown closes at the moment in which its caller sends
+// the next request leaves that caller without an answer.
+func TestShutdownKeepsIdleConnections(t *testing.T) {
+	f := failure(pollenlatch.NotRun, pollenlatch.NoOwner, 503)
+	serve(t, constant(func() (*pollenlatch.Response, error) { return nil, f }), nil, func(x *site) {
+		c := x.dial()
+		r := bufio.NewReader(c)
+		ask := func() (last bool) {
+			_, err := io.WriteString(c, getClaim)
+			require.NoError(x, err)
+			w, err := http.ReadResponse(r, nil)
+			require.NoError(x, err)
+			_, err = io.Copy(io.Discard, w.Body)
+			require.NoError(x, err)
+			require.NoError(x, w.Body.Close())
+			return w.Close
+		}
+		require.False(x, ask())
+		ended := make(chan error, 1)
+		go func() { ended <- x.server.Shutdown(context.Background()) }()
+		synctest.Wait()
+		require.Empty(x, ended)
+		require.True(x, ask(), "the caller is not told to close its connection")
+		require.NoError(x, c.Close())
+		require.NoError(x, <-ended)
+	})
+}
