--- a/script/caller.go
+++ b/script/caller.go
@@ -27,6 +27,7 @@
 
 	mu   sync.Mutex
 	told map[string]string // outcome by request
+	why  map[string]string // details of unknown outcomes
 	last atomic.Uint64
 	wg   sync.WaitGroup
 	stop chan struct{} // of the traffic; nil while there is none
@@ -34,7 +35,7 @@
 
 // NewCaller returns a caller without requests.
 func NewCaller() *Caller {
-	return &Caller{told: make(map[string]string), client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	return &Caller{told: make(map[string]string), why: make(map[string]string), client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 }
 
 // claim is one request that must not run twice.
@@ -52,6 +53,9 @@
 	defer c.mu.Unlock()
 	// A later attempt is made only after not-run, so its outcome replaces that.
 	c.told[q.id] = outcome
+	if outcome == outcomeUnknown {
+		c.why[q.id] = fmt.Sprintf("%s at %s: %s", time.Now().Format("15:04:05.000"), q.front, detail)
+	}
 	return outcome, detail, err
 }
 
@@ -168,3 +172,14 @@
 	}
 	return n
 }
+
+// Unknown returns the details of the requests whose outcome is unknown.
+func (c *Caller) Unknown() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var b strings.Builder
+	for id, why := range c.why {
+		fmt.Fprintf(&b, "%s: %s\n", id, why)
+	}
+	return b.String()
+}
--- a/script/expect.go
+++ b/script/expect.go
@@ -39,6 +39,9 @@
 	return json.NewDecoder(resp.Body).Decode(v)
 }
 
+// never starts what is seen when the condition can't hold any more.
+const never = "too many: "
+
 // condition reports whether a condition holds now, and what is seen if not.
 type condition func(w *world, args []string) (ok bool, seen string)
 
@@ -85,8 +88,8 @@
 		if holds != neg {
 			return
 		}
-		if time.Now().After(end) {
-			ts.Fatalf("still not after %v: %s; seen: %s\n%s", hangLimit, strings.Join(args, " "), seen, w.logs())
+		if strings.HasPrefix(seen, never) || time.Now().After(end) {
+			ts.Fatalf("does not hold within %v: %s; seen: %s\n%s", hangLimit, strings.Join(args, " "), seen, w.logs())
 		}
 	}
 }
@@ -194,7 +197,7 @@
 			n++
 		}
 	}
-	return err == nil && strconv.Itoa(n) == a[1], fmt.Sprintf("%d runs, %v", n, err)
+	return counted(n, a[1], "runs", err)
 }
 
 // running holds when so many requests are in flight at the server.
@@ -211,7 +214,7 @@
 // served holds when the servers of an instance have started so many requests.
 func served(w *world, a []string) (bool, string) {
 	n, err := w.served(a[0])
-	return err == nil && strconv.Itoa(n) == a[1], fmt.Sprintf("%d requests, %v", n, err)
+	return counted(n, a[1], "requests", err)
 }
 
 func (w *world) served(name string) (int, error) {
@@ -225,8 +228,17 @@
 
 // total holds when so many requests have the outcome.
 func total(w *world, a []string) (bool, string) {
-	n := w.caller.Told(a[0])
-	return strconv.Itoa(n) == a[1], fmt.Sprintf("%d requests", n)
+	return counted(w.caller.Told(a[0]), a[1], "requests\n"+w.caller.Unknown(), nil)
+}
+
+// counted compares a count that never falls.
+func counted(n int, want, what string, err error) (bool, string) {
+	k, perr := strconv.Atoi(want)
+	seen := fmt.Sprintf("%d %s, %v", n, what, errors.Join(err, perr))
+	if n > k {
+		seen = never + seen
+	}
+	return err == nil && perr == nil && n == k, seen
 }
 
 func (w *world) owner(name, service, key string) (o admin.Owner, err error) {
