scale: refuse an unknown part as wrong usage

Cause: the command returned 1, as for a failed measurement.

Change: Config.Check reports it before anything runs, and the command returns 2.

--- a/cmd/scale.go
+++ b/cmd/scale.go
@@ -29,6 +29,9 @@
 			if names != "" {
 				cfg.Parts = strings.Split(names, ",")
 			}
+			if err := cfg.Check(); err != nil {
+				return &exitError{code: exitUsage, err: err}
+			}
 			r, err := scale.Run(ctx, cfg)
 			switch {
 			case err != nil:
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -54,13 +55,21 @@
 	return names
 }
 
+// Check reports a part that does not exist.
+func (c Config) Check() error {
+	for _, name := range c.Parts {
+		if !slices.Contains(Names(), name) {
+			return fmt.Errorf("there is no part %q; the parts are %s", name, strings.Join(Names(), ", "))
+		}
+	}
+	return nil
+}
+
 // Run measures the parts. It uses the processor time of the whole process, so
 // nothing else may run in it.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	for _, name := range cfg.Parts {
-		if !slices.Contains(Names(), name) {
-			return nil, fmt.Errorf("there is no part %q; the parts are %v", name, Names())
-		}
+	if err := cfg.Check(); err != nil {
+		return nil, err
 	}
 	r := newReport(cfg.Seed)
 	for _, p := range parts {
