ctrl: show that the checks notice broken rules

The simulation of requests notices 8 of 11 broken rules within the seeds 1 to 100; a test runs the first seed of each.

--- a/ctrl/traffic_test.go
+++ b/ctrl/traffic_test.go
@@ -77,3 +77,28 @@
 	t.Logf("%d requests started, %d verdicts", started, decided)
 	require.NotZero(t, started)
 }
+
+// A check that cannot fail proves nothing: each rule that is broken must be
+// noticed. The seeds are the first ones that notice it.
+func TestBrokenRulesAreNoticedByTraffic(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		broken rules
+		seed   uint64
+	}{
+		{"no wait for requests in flight", rules{noDrainWait: true}, 1},
+		{"late publish", rules{latePublish: true}, 2},
+		{"no wait after an election", rules{noElectionWait: true}, 4},
+		{"lease ended at once when leaving", rules{quickLeave: true}, 4},
+		{"lease used before the log", rules{joinAtOnce: true}, 9},
+		{"replaced maxruns forgotten", rules{shortHold: true}, 10},
+		{"lease counted from the arrival", rules{fromArrival: true}, 15},
+		{"release while a former request runs", rules{releaseInHold: true}, 55},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := runTraffic(c.seed, c.broken)
+			require.NotEmpty(t, s.failure, "not noticed")
+			t.Log(s.failure)
+		})
+	}
+}
