Require fenced servers to check again before a run takes effect

Cause: shards of a lost server that checks fences get their next owner at once, but such a server could finish a request that it had begun before its grants ended, beside the next owner (found by the audit of the control path). A newer fence of the same shard is the same owner and does not stop it. Measured: go test ./sample ./fleet ./load passes; TestGrantMustLast covers the five cases.

--- a/sample/grant.go
+++ b/sample/grant.go
@@ -84,3 +84,16 @@
 		return nil
 	}
 }
+
+// lasts reports whether what began under the fence may still take effect: the
+// shard is granted, also with a newer fence, or the key belongs to its range
+// again and that is granted.
+func (h *holding) lasts(s pollenlatch.Shard, f pollenlatch.Fence, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !now.Before(h.end) {
+		return false
+	}
+	whole := pollenlatch.Shard{Service: s.Service, Range: s.Range}
+	return h.fences[s] >= f || (s.Key != "" && h.fences[whole] >= f)
+}
--- a/sample/handle.go
+++ b/sample/handle.go
@@ -240,6 +240,9 @@
 	f := s.pickFault()
 	whole := s.spend(r.Context(), k, s.serviceTime()+f.Delay)
 	s.frozen.wait()
+	if s.cfg.Endpoint.Fenced && k.fence != 0 && !s.grants.lasts(k.shard, k.fence, time.Now()) {
+		whole = false // the shard may have its next owner
+	}
 	s.ledger.end(n, time.Now(), whole)
 	if !whole {
 		// The run was stopped part way: its caller can't be told the result.
--- a/sample/sample_test.go
+++ b/sample/sample_test.go
@@ -183,3 +183,29 @@
 		require.Zero(t, s.Stats().Running)
 	})
 }
+
+// A run that takes effect after the end of its grant would act beside the next
+// owner's. A newer fence of the same owner must not stop it.
+func TestGrantMustLast(t *testing.T) {
+	now := time.Now()
+	shard := pollenlatch.Shard{Service: "listing", Range: 3}
+	hot := pollenlatch.Shard{Service: "listing", Range: 3, Key: "lot-1"}
+	for _, c := range []struct {
+		name    string
+		granted map[pollenlatch.Shard]pollenlatch.Fence
+		shard   pollenlatch.Shard
+		after   time.Duration
+		want    bool
+	}{
+		{"same fence", map[pollenlatch.Shard]pollenlatch.Fence{shard: 5}, shard, 0, true},
+		{"newer fence of the same owner", map[pollenlatch.Shard]pollenlatch.Fence{shard: 9}, shard, 0, true},
+		{"key is part of its range again", map[pollenlatch.Shard]pollenlatch.Fence{shard: 9}, hot, 0, true},
+		{"moved away", nil, shard, 0, false},
+		{"expired", map[pollenlatch.Shard]pollenlatch.Fence{shard: 5}, shard, time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := holding{fences: c.granted, end: now.Add(time.Second)}
+			require.Equal(t, c.want, h.lasts(c.shard, 5, now.Add(c.after)))
+		})
+	}
+}
