--- a/script/expect.go
+++ b/script/expect.go
@@ -24,8 +24,9 @@
 )
 
 // operator asks the administration API. A connection for each request keeps a
-// paused process from holding up later ones.
-var operator = http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+// paused process from holding up later ones. The burn report waits 2 s for a
+// missing daemon.
+var operator = http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
 
 func (i *Instance) get(path string, v any) error {
 	resp, err := operator.Get("http://" + i.addr(adminPort) + path)
