--- a/script/script.go
+++ b/script/script.go
@@ -33,7 +33,6 @@
 	marks   map[string]uint64    // by name
 	pending map[string]chan sent // requests under way, by identifier
 	failed  chan error
-	checked bool
 }
 
 type sent struct {
@@ -463,7 +462,6 @@
 	w.caller.mu.Lock()
 	told := maps.Clone(w.caller.told)
 	w.caller.mu.Unlock()
-	w.checked = true
 	if faults := Check(told, runs); len(faults) > 0 {
 		return fmt.Errorf("%d faults among %d requests and %d runs:\n%s", len(faults), len(told), len(runs), strings.Join(faults, "\n"))
 	}
--- a/script/script_test.go
+++ b/script/script_test.go
@@ -1,11 +1,14 @@
 package script
 
 import (
+	"bytes"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rogpeppe/go-internal/txtar"
 	"github.com/stretchr/testify/require"
 
 	"pollenlatch"
@@ -24,6 +27,18 @@
 	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: Setup, Cmds: Commands(), RequireUniqueNames: true})
 }
 
+// A scenario without check compares nothing and always passes.
+func TestScenariosCheck(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		a, err := txtar.ParseFile(f)
+		require.NoError(t, err)
+		require.True(t, bytes.HasSuffix(bytes.TrimSpace(a.Comment), []byte("\ncheck")), "%s does not end with check", f)
+	}
+}
+
 // A check that misses a contradiction lets every scenario pass.
 func TestCheck(t *testing.T) {
 	run := func(id string, at int64, fence pollenlatch.Fence) sample.Run {
