--- a/script/expect.go
+++ b/script/expect.go
@@ -51,24 +51,21 @@
 	args  string
 	holds condition
 }{
-	"serving":  {"NAME", serving},
-	"leader":   {"NAME", leader},
-	"owned":    {"NAME SERVICE", owned},
-	"owner":    {"NAME SERVICE KEY OWNER", owner},
-	"usable":   {"NAME SERVICE NUMBER", usable},
-	"lost":     {"NAME NUMBER", lost},
-	"voters":   {"NAME NAMES", voters},
-	"next":     {"NAME NUMBER", next},
-	"told":     {"OUTCOME MORE", told},
-	"runs":     {"ID NUMBER", runs},
-	"running":  {"NAME NUMBER", running},
-	"exited":   {"NAME", exited},
-	"answered": {"NAME", answered},
-	"served":   {"NAME NUMBER", served},
-	"total":    {"OUTCOME NUMBER", total},
-	"fence":    {"NAME SERVICE KEY FENCE", fence},
-	"burn":     {"NAME DAEMON missing|reporting", burnOf},
-	"events":   {"NAME SERVICE NUMBER", events},
+	"serving": {"NAME", serving},
+	"owned":   {"NAME SERVICE", owned},
+	"owner":   {"NAME SERVICE KEY OWNER", owner},
+	"usable":  {"NAME SERVICE NUMBER", usable},
+	"lost":    {"NAME NUMBER", lost},
+	"voters":  {"NAME NAMES", voters},
+	"next":    {"NAME NUMBER", next},
+	"told":    {"OUTCOME MORE", told},
+	"runs":    {"ID NUMBER", runs},
+	"exited":  {"NAME", exited},
+	"served":  {"NAME NUMBER", served},
+	"total":   {"OUTCOME NUMBER", total},
+	"fence":   {"NAME SERVICE KEY FENCE", fence},
+	"burn":    {"NAME DAEMON missing|reporting", burnOf},
+	"events":  {"NAME SERVICE NUMBER", events},
 }
 
 // expect waits until a condition holds, or with ! until it does not hold.
@@ -109,17 +106,6 @@
 	return err == nil && s.Process.Serving, fmt.Sprint(s.Process, err)
 }
 
-func answered(w *world, a []string) (bool, string) {
-	_, err := w.status(a[0])
-	return err == nil, fmt.Sprint(err)
-}
-
-// leader holds when the instance knows a leader. It remembers it as $LEADER.
-func leader(w *world, a []string) (bool, string) {
-	s, err := w.status(a[0])
-	return err == nil && s.Process.Leader != "", fmt.Sprint(s.Process, err)
-}
-
 func (w *world) service(name, service string) (admin.ServiceStatus, error) {
 	s, err := w.status(name)
 	if err != nil {
@@ -201,12 +187,6 @@
 	return counted(n, a[1], "runs", err)
 }
 
-// running holds when so many requests are in flight at the server.
-func running(w *world, a []string) (bool, string) {
-	s, err := w.status(a[0])
-	return err == nil && fmt.Sprint(s.Process.InFlight) == a[1], fmt.Sprint(s.Process.InFlight, err)
-}
-
 func exited(w *world, a []string) (bool, string) {
 	i, err := w.d.Find(a[0])
 	return err == nil && !i.daemon.runs(), fmt.Sprint(err)
