--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -22,6 +22,12 @@
 func BenchmarkPath(b *testing.B) {
 	cfg := board()
 	cfg.Dir = b.TempDir()
+	// Callers, daemons and servers share one process here: with the default
+	// times a saturated machine loses its leader in the middle of a run.
+	cfg.Timing = ctrl.Timing{
+		Lease: 5 * time.Second, Renew: time.Second, Heartbeat: 400 * time.Millisecond,
+		Election: 1200 * time.Millisecond, Grace: 20 * time.Second, Drain: time.Second,
+	}
 	for i := range cfg.Instances {
 		cfg.Instances[i].Endpoint.Slots, cfg.Instances[i].Endpoint.Conns = 100, 200
 	}
