Start the waits of a request anew for the next owner

Cause: after a loss a request had waited up to 200 ms between attempts; the first attempt at the next owner could be refused by its server, which gets its grant a moment later, and then waited 200 ms again. Change: the waits start anew when the owner changes. Ruled out: the state's way to the entry daemon (the owner knew 1 ms after the commit).

--- a/front/router.go
+++ b/front/router.go
@@ -321,6 +321,7 @@
 	for x.target.owner.Instance != 0 {
 		changed := x.cfg.Control.Changed()
 		if x.ownerChanged() {
+			x.backoff = nil
 			return ctx.Err() == nil
 		}
 		if !waitChange(ctx, changed, time.Until(x.request.Deadline)) {
@@ -363,6 +364,9 @@
 	for {
 		changed := x.cfg.Control.Changed()
 		if x.target.owner.Instance != 0 && x.ownerChanged() {
+			// The next owner is not the one that the waits were for. Its server
+			// may refuse the first attempt, a moment before it gets its grant.
+			x.backoff = nil
 			return ctx.Err() == nil
 		}
 		if !waitChange(ctx, changed, time.Until(until)) {
