Wait for all endpoints before an experiment's service is created

Change: experiments and the demonstration create the service once every endpoint is usable; a failed run still prints those before it.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -89,7 +90,7 @@
 		}
 		r, err := cfg.run(ctx, x)
 		if err != nil {
-			return fmt.Errorf("%s: %w", x.name, err)
+			return errors.Join(t.Flush(), fmt.Errorf("%s: %w", x.name, err))
 		}
 		r.write(t, x.name, cfg.Duration)
 	}
@@ -193,6 +194,9 @@
 func (c Config) prepare(ctx context.Context, f *fleet.Fleet) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
+	if err := f.Ready(ctx); err != nil {
+		return err
+	}
 	v, err := f.Submit(ctx, pollenlatch.Ticket{Number: 1, Text: c.ticket(), Sender: "bench"})
 	if err != nil {
 		return err
--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -129,6 +129,9 @@
 
 // prepare creates the service and waits until every range has an owner.
 func (d *demonstration) prepare(ctx context.Context) error {
+	if err := d.fleet.Ready(ctx); err != nil {
+		return err
+	}
 	v, err := d.fleet.Submit(ctx, pollenlatch.Ticket{Number: 1, Text: demoTicket, Sender: "demo"})
 	if err != nil {
 		return err
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -256,6 +256,20 @@
 	}
 }
 
+// Ready waits until every instance with an endpoint is known to be usable by
+// all. A ticket that creates the service then finds all its endpoints.
+func (f *Fleet) Ready(ctx context.Context) error {
+	return f.Wait(ctx, func(a *ctrl.Access) bool {
+		for _, name := range f.order {
+			i, ok := a.View.Lookup(name)
+			if f.Node(name).Endpoint.Service != "" && (!ok || !i.Usable()) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 const pollInterval = 5 * time.Millisecond
 
 // Submit sends a ticket through the first instance that answers.
