Give operators hints with start errors, by samber/oops

Cause: the users' style names samber/oops for errors, and an error at the start did not say what to do. Change: package daemon turns the errors of listening and of the data folder, with code, context and a hint that the command line prints.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -8,6 +8,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"github.com/samber/oops"
 )
 
 // Exit codes of the program.
@@ -140,6 +142,9 @@
 		x = &exitError{code: exitFailed, err: err}
 	}
 	_, _ = fmt.Fprintf(e.stderr, "pollenlatch: %s\n", strings.ReplaceAll(err.Error(), "\n", "\n  "))
+	if o, ok := oops.AsOops(err); ok && o.Hint() != "" {
+		_, _ = fmt.Fprintf(e.stderr, "  %s\n", o.Hint())
+	}
 	return x.code
 }
 
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -100,10 +100,7 @@
 		return cfg, nil
 	}
 	cfg.Voter, err = daemon.OpenVoter(s.Voter.Data, s.Name, s.Addresses.Link, cfg.Voters)
-	if err != nil {
-		return cfg, fmt.Errorf("voter.data: %w", err)
-	}
-	return cfg, nil
+	return cfg, err
 }
 
 // initFolder gives the voter of the settings a data folder with an identity.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,12 +56,6 @@
 // when it is told to stop.
 const DefaultDrain = 30 * time.Second
 
-// Errors of a daemon.
-var (
-	ErrConfig = errors.New("daemon settings")
-	ErrVoter  = errors.New("voter has stopped")
-)
-
 // Daemon is one process. Use New, then Run.
 type Daemon struct {
 	cfg         Config
@@ -189,7 +183,7 @@
 		var lc net.ListenConfig
 		ln, err := lc.Listen(ctx, "tcp", l.addr)
 		if err != nil {
-			return fmt.Errorf("%s address: %w", l.what, err)
+			return listenError(l.what, l.addr, err)
 		}
 		go func() {
 			if err := l.serve(ln); err != nil {
--- a/daemon/voter.go
+++ b/daemon/voter.go
@@ -1,7 +1,7 @@
 package daemon
 
 import (
-	"fmt"
+	"errors"
 	"io"
 
 	"pollenlatch"
@@ -27,11 +27,11 @@
 func OpenVoter(folder, name, addr string, genesis []pollenlatch.Member) (*Voter, error) {
 	s, err := store.Open(store.Dir(folder))
 	if err != nil {
-		return nil, err
+		return nil, voterError(folder, err)
 	}
 	id := s.Identity()
 	if id.Name != name {
-		return nil, fmt.Errorf("%w: data folder %s belongs to voter %q, not %q", ErrConfig, folder, id.Name, name)
+		return nil, errors.Join(otherVoter(folder, id.Name, name), s.Close())
 	}
 	return &Voter{
 		Self:    pollenlatch.Member{Name: name, Incarnation: id.Incarnation, Addr: addr},
