Prepare the counting of events before the listeners open

Cause: the race detector found in a scenario under load that the first request could be counted while the counter's fields were still being set (introduced with the copies of events). Change: the counter is prepared in New. Conclusion: the race is closed.

--- a/daemon/burn.go
+++ b/daemon/burn.go
@@ -24,8 +24,9 @@
 	fetchTimeout = 2 * time.Second
 )
 
-// watch prepares the counting of events.
-func (d *Daemon) watch() {
+// prepareEvents prepares the counting of events. It comes before the listeners
+// are opened, since the first request is counted.
+func (d *Daemon) prepareEvents() {
 	d.burn.Daemon = d.cfg.Name
 	d.burn.DC = func(endpoint string) string {
 		i, _ := d.desk.View().Lookup(endpoint)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -119,6 +119,7 @@
 	if err := d.connect(); err != nil {
 		return nil, err
 	}
+	d.prepareEvents()
 	return d, nil
 }
 
@@ -146,7 +147,6 @@
 		return err
 	}
 	d.loop.Start(running)
-	d.watch()
 	go d.measure(running)
 	go d.keep(running)
 	go d.exchange(running)
