Let a run wait for its grant's extension before it takes effect

Cause: under load the daemon's extension of the grants can be late, or a graceful end of the leader leaves a moment without renewals. Change: a run whose grants have expired waits for their extension until its deadline; one whose shard has moved is dropped as before. A server that leaves goes on until its grants are empty or have expired.

--- a/sample/grant.go
+++ b/sample/grant.go
@@ -85,15 +85,22 @@
 	}
 }
 
-// lasts reports whether what began under the fence may still take effect: the
+// lasts reports whether what began under the fence may take effect now: the
 // shard is granted, also with a newer fence, or the key belongs to its range
-// again and that is granted.
-func (h *holding) lasts(s pollenlatch.Shard, f pollenlatch.Fence, now time.Time) bool {
+// again and that is granted. moved means that it never may again.
+func (h *holding) lasts(s pollenlatch.Shard, f pollenlatch.Fence, now time.Time) (lasts, moved bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !now.Before(h.end) {
-		return false
-	}
 	whole := pollenlatch.Shard{Service: s.Service, Range: s.Range}
-	return h.fences[s] >= f || (s.Key != "" && h.fences[whole] >= f)
+	if h.fences[s] < f && (s.Key == "" || h.fences[whole] < f) {
+		return false, true
+	}
+	return now.Before(h.end), false
+}
+
+// any reports whether some shard is granted.
+func (h *holding) any(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.fences) > 0 && now.Before(h.end)
 }
--- a/sample/handle.go
+++ b/sample/handle.go
@@ -240,9 +240,7 @@
 	f := s.pickFault()
 	whole := s.spend(r.Context(), k, s.serviceTime()+f.Delay)
 	s.frozen.wait()
-	if s.cfg.Endpoint.Fenced && k.fence != 0 && !s.grants.lasts(k.shard, k.fence, time.Now()) {
-		whole = false // the shard may have its next owner
-	}
+	whole = whole && s.mayTakeEffect(r.Context(), k)
 	s.ledger.end(n, time.Now(), whole)
 	if !whole {
 		// The run was stopped part way: its caller can't be told the result.
@@ -252,6 +250,36 @@
 	s.answer(w, k, f)
 }
 
+// confirmPoll is how often a run that is done looks for its grant.
+const confirmPoll = 5 * time.Millisecond
+
+// mayTakeEffect checks the grant again after a run. When the grants have
+// expired, the shard may have its next owner or the daemon may be late with an
+// extension: the run waits for that, until its deadline.
+func (s *Server) mayTakeEffect(ctx context.Context, k work) bool {
+	if !s.cfg.Endpoint.Fenced || k.fence == 0 {
+		return true
+	}
+	if !k.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, k.deadline)
+		defer cancel()
+	}
+	for {
+		lasts, moved := s.grants.lasts(k.shard, k.fence, time.Now())
+		if lasts || moved {
+			return lasts
+		}
+		select {
+		case <-time.After(confirmPoll):
+		case <-ctx.Done():
+			return false
+		case <-s.done:
+			return false
+		}
+	}
+}
+
 // spend takes the service time, and stops early when the connection closes or
 // the deadline passes.
 func (s *Server) spend(ctx context.Context, k work, d time.Duration) bool {
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -163,7 +163,9 @@
 }
 
 // Drain announces that the server leaves, waits until quiet has passed
-// without a running request, and stops.
+// without a running request or a grant, and stops. While there is a grant the
+// daemon may send requests, and one that meets a closing connection has an
+// unknown outcome.
 func (s *Server) Drain(ctx context.Context, quiet time.Duration) error {
 	s.mu.Lock()
 	s.drainedAt = time.Now()
@@ -179,7 +181,7 @@
 			return errors.Join(ctx.Err(), s.Close())
 		case <-t.C:
 		}
-		if s.running.Load() > 0 {
+		if s.running.Load() > 0 || s.grants.any(time.Now()) {
 			idle = time.Now()
 		}
 	}
--- a/sample/sample_test.go
+++ b/sample/sample_test.go
@@ -196,16 +196,18 @@
 		shard   pollenlatch.Shard
 		after   time.Duration
 		want    bool
+		moved   bool
 	}{
-		{"same fence", map[pollenlatch.Shard]pollenlatch.Fence{shard: 5}, shard, 0, true},
-		{"newer fence of the same owner", map[pollenlatch.Shard]pollenlatch.Fence{shard: 9}, shard, 0, true},
-		{"key is part of its range again", map[pollenlatch.Shard]pollenlatch.Fence{shard: 9}, hot, 0, true},
-		{"moved away", nil, shard, 0, false},
-		{"expired", map[pollenlatch.Shard]pollenlatch.Fence{shard: 5}, shard, time.Second, false},
+		{"same fence", map[pollenlatch.Shard]pollenlatch.Fence{shard: 5}, shard, 0, true, false},
+		{"newer fence of the same owner", map[pollenlatch.Shard]pollenlatch.Fence{shard: 9}, shard, 0, true, false},
+		{"key is part of its range again", map[pollenlatch.Shard]pollenlatch.Fence{shard: 9}, hot, 0, true, false},
+		{"moved away", nil, shard, 0, false, true},
+		{"expired", map[pollenlatch.Shard]pollenlatch.Fence{shard: 5}, shard, time.Second, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := holding{fences: c.granted, end: now.Add(time.Second)}
-			require.Equal(t, c.want, h.lasts(c.shard, 5, now.Add(c.after)))
+			lasts, moved := h.lasts(c.shard, 5, now.Add(c.after))
+			require.Equal(t, []bool{c.want, c.moved}, []bool{lasts, moved})
 		})
 	}
 }
