--- a/scale/control.go
+++ b/scale/control.go
@@ -22,17 +22,10 @@
 // measureRenewals measures the leader's costs of renewals, and a daemon's own.
 func measureRenewals(ctx context.Context, r *Report) error {
 	for _, n := range daemonSizes {
-		w, err := newWorld(r.Seed, n, targetBits)
+		w, g, err := groupOf(ctx, r.Seed, n)
 		if err != nil {
 			return err
 		}
-		g, err := newGroup(r.Seed, w)
-		if err != nil {
-			return err
-		}
-		if err := ctx.Err(); err != nil {
-			return err
-		}
 		// Every tenth renewal carries a load report.
 		var sum cost
 		request := 0
@@ -240,17 +233,10 @@
 // more of them: a daemon moves ranges to another one by its own hand-over.
 func measureDeltas(ctx context.Context, r *Report) error {
 	for _, n := range daemonSizes {
-		w, err := newWorld(r.Seed, n, targetBits)
-		if err != nil {
-			return err
-		}
-		g, err := newGroup(r.Seed, w)
+		_, g, err := groupOf(ctx, r.Seed, n)
 		if err != nil {
 			return err
 		}
-		if err := ctx.Err(); err != nil {
-			return err
-		}
 		sum := cost{}
 		for i := range repeats {
 			c, err := g.announce(1 + i%(n-1))
@@ -412,17 +398,10 @@
 // told that it is in force.
 func measureTickets(ctx context.Context, r *Report) error {
 	for _, n := range daemonSizes {
-		w, err := newWorld(r.Seed, n, targetBits)
+		_, g, err := groupOf(ctx, r.Seed, n)
 		if err != nil {
 			return err
 		}
-		g, err := newGroup(r.Seed, w)
-		if err != nil {
-			return err
-		}
-		if err := ctx.Err(); err != nil {
-			return err
-		}
 		var sum cost
 		var took time.Duration
 		const tickets = 5
--- a/scale/group.go
+++ b/scale/group.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/bits"
@@ -164,6 +165,20 @@
 
 func voterName(i int) string { return fmt.Sprintf("voter-%d", i) }
 
+// groupOf returns the world of so many daemons at the target table size and a
+// group that leads it. The error is ctx's when it has ended.
+func groupOf(ctx context.Context, seed uint64, daemons int) (*world, *group, error) {
+	w, err := newWorld(seed, daemons, targetBits)
+	if err != nil {
+		return nil, nil, err
+	}
+	g, err := newGroup(seed, w)
+	if err != nil {
+		return nil, nil, err
+	}
+	return w, g, ctx.Err()
+}
+
 // newGroup starts a group from a state and lets it elect a leader.
 func newGroup(seed uint64, w *world) (*group, error) {
 	g := &group{index: make(map[string]int), byName: make(map[string]int)}
