pick: the endpoint beside a daemon first; refusals for overload count as full

Cause: a request that entered at an instance whose own server could run it was sent to another instance all the same, which costs both daemons processor time and a long answer the network link of two instances. An endpoint that refused for overload (scheduler of routed requests) left no trace, while one with a full queue counted as full for 100 ms.

Change: the picker takes the endpoint beside its daemon while that has a free slot and is about as fast as the best other one. Overloaded counts like QueueFull.

Ruled out: preferring the own endpoint without regard to its latency; a slow or failing server would then keep the requests of its instance (TestPickBeside).

Figures: TestPickAfterOverload fails on the former code; TestPickBeside needs the new setting.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -57,6 +57,17 @@
 	return defaultMaxRun
 }
 
+// beside returns this instance and how many slots of the server beside it are
+// free.
+func (d *Daemon) beside() (id pollenlatch.InstanceID, free int) {
+	e, ok := d.server()
+	if !ok {
+		return 0, 0
+	}
+	running, waiting := d.gate.Load()
+	return d.desk.Self(), int(e.Slots) - running - waiting
+}
+
 func (d *Daemon) queue(service string) int {
 	s, _ := d.desk.View().Service(service)
 	return int(s.Queue)
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	routing := front.RouterConfig{
-		Control: &d.desk, Local: here, Forward: node, Picker: pick.New(pick.Config{}), DC: d.cfg.DC, Metrics: d.metrics,
+		Control: &d.desk, Local: here, Forward: node, Picker: pick.New(pick.Config{Beside: d.beside}), DC: d.cfg.DC, Metrics: d.metrics,
 	}
 	if m := d.cfg.Mesh; m != nil {
 		routing.Repeats = &pick.Repeats{Share: m.Repeats.Share, Most: m.Repeats.Most}
--- a/pick/picker.go
+++ b/pick/picker.go
@@ -39,6 +39,10 @@
 	// spill is how many times worse than a remote endpoint the local one must
 	// look before the request leaves the data centre.
 	spill        = 2
+	// closeEnough is how many times slower than the best other one the endpoint
+	// beside this daemon may be: the hop that it saves costs both daemons processor
+	// time, and long answers the network link of this instance.
+	closeEnough  = 1.5
 	defaultSlots = 10 // of an endpoint that states none
 	// refusal is how long an endpoint that refuses for overload counts as full.
 	refusal = 100 * time.Millisecond
@@ -56,6 +60,9 @@
 	Ramp     time.Duration // until a cold endpoint gets its full share
 	Eject    time.Duration // first ejection; doubles with each further one
 	EjectMax time.Duration // longest ejection
+	// Beside returns the instance of this daemon and how many slots of the server
+	// beside it are free; nil where there is none.
+	Beside func() (id pollenlatch.InstanceID, free int)
 }
 
 // Picker implements pollenlatch.Picker from what this daemon itself sees: it
@@ -141,13 +148,18 @@
 	return e.instance, done, true
 }
 
-// choose compares the better of two local endpoints with the better of two
-// remote ones. An ejected endpoint is chosen only when there is no other.
+// choose takes the endpoint beside this daemon while it has room. Otherwise it
+// compares the better of two local endpoints with the better of two remote ones.
+// An ejected endpoint is chosen only when there is no other.
 func (p *Picker) choose(candidates []pollenlatch.Instance, dc string, tried pollenlatch.Set[pollenlatch.InstanceID], now pollenlatch.Mono) *endpoint {
 	p.near, p.far = p.near[:0], p.far[:0]
-	var spare *endpoint
+	self := p.beside()
+	var spare, own *endpoint
 	for _, c := range candidates {
 		e := p.endpoint(c, now)
+		if c.ID == self && e.ejected <= now && e.warmAt <= now && !tried.Has(c.ID) {
+			own = e
+		}
 		switch {
 		case tried.Has(c.ID):
 		case e.ejected > now:
@@ -162,16 +174,41 @@
 	}
 	p.warmed = true
 	n, f := p.better(p.near, now), p.better(p.far, now)
+	best := n
 	switch {
 	case n == nil && f == nil:
 		return spare
-	case n == nil:
-		return f
-	case f == nil || !p.spills(n, f, now):
-		return n
-	default:
-		return f
+	case n == nil || (f != nil && p.spills(n, f, now)):
+		best = f
+	}
+	if own != nil && p.asFast(own, best, now) {
+		return own
+	}
+	return best
+}
+
+// beside returns the instance of this daemon if the server beside it has a free
+// slot, or else 0.
+func (p *Picker) beside() pollenlatch.InstanceID {
+	if p.cfg.Beside == nil {
+		return 0
+	}
+	id, free := p.cfg.Beside()
+	if free <= 0 {
+		return 0
+	}
+	return id
+}
+
+// asFast reports whether the endpoint beside this daemon is about as fast as
+// another one. With a free slot, requests in flight do not count.
+func (p *Picker) asFast(own, other *endpoint, now pollenlatch.Mono) bool {
+	if own == other {
+		return true
 	}
+	ol, _ := p.weigh(own, now)
+	l, _ := p.weigh(other, now)
+	return now >= own.fullTill && ol <= closeEnough*l
 }
 
 // cost is how long a further request is likely to take.
@@ -375,7 +412,7 @@
 
 func judge(o pollenlatch.Outcome, r pollenlatch.Reason, took time.Duration) verdict {
 	switch r {
-	case pollenlatch.QueueFull, pollenlatch.Draining:
+	case pollenlatch.QueueFull, pollenlatch.Draining, pollenlatch.Overloaded:
 		return overloaded
 	case pollenlatch.Expired:
 		switch {
--- a/pick/picker_test.go
+++ b/pick/picker_test.go
@@ -240,3 +240,72 @@
 		done(pollenlatch.Ran, "", time.Millisecond)
 	}
 }
+
+// A request that the server beside its daemon can take must not cost a second
+// daemon a hop, unless that server is full, cold, slow or failing.
+func TestPickBeside(t *testing.T) {
+	const own = pollenlatch.InstanceID(1)
+	for _, tt := range []struct {
+		name  string
+		free  int
+		own   time.Duration // time of its answers; those of the others take 10 ms
+		why   pollenlatch.Reason
+		least int // picks of 300
+		most  int
+	}{
+		{name: "free slots", free: 1, own: 10 * time.Millisecond, least: 300, most: 300},
+		{name: "a little slower", free: 1, own: 13 * time.Millisecond, least: 290, most: 300},
+		{name: "full", free: 0, own: 10 * time.Millisecond, least: 30, most: 200},
+		{name: "slow", free: 1, own: 40 * time.Millisecond, most: 60},
+		{name: "failing", free: 1, own: time.Millisecond, why: pollenlatch.ServerError, most: 60},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &handClock{now: pollenlatch.Mono(time.Hour)}
+			p := New(Config{Clock: c, Seed: 1, Beside: func() (pollenlatch.InstanceID, int) { return own, tt.free }})
+			all := candidates(4)
+			learn := func(n int) (picks int) {
+				for range n {
+					i, done, ok := p.Pick(all, "a", nil)
+					require.True(t, ok)
+					c.add(10 * time.Millisecond)
+					if i.ID == own {
+						picks++
+						done(pollenlatch.Ran, tt.why, tt.own)
+						continue
+					}
+					done(pollenlatch.Ran, "", 10*time.Millisecond)
+				}
+				return picks
+			}
+			learn(100)
+			n := learn(300)
+			require.GreaterOrEqual(t, n, tt.least)
+			require.LessOrEqual(t, n, tt.most)
+		})
+	}
+	t.Run("cold", func(t *testing.T) {
+		c := &handClock{now: pollenlatch.Mono(time.Hour)}
+		p := New(Config{Clock: c, Seed: 1, Beside: func() (pollenlatch.InstanceID, int) { return 9, 1 }})
+		shares(t, p, c, candidates(4), 10, nil)
+		m := shares(t, p, c, append(candidates(4), candidate(9, "a")), 20, nil)
+		require.Less(t, m[9], 10)
+	})
+}
+
+// An instance that refuses for overload must count as full for a while, as one
+// whose queue is full does.
+func TestPickAfterOverload(t *testing.T) {
+	p, c := testPicker()
+	all := candidates(2)
+	shares(t, p, c, all, 20, nil)
+	i, done, ok := p.Pick(all, "a", nil)
+	require.True(t, ok)
+	done(pollenlatch.NotRun, pollenlatch.Overloaded, time.Millisecond)
+	for range 10 {
+		next, done, ok := p.Pick(all, "a", nil)
+		require.True(t, ok)
+		require.NotEqual(t, i.ID, next.ID)
+		done(pollenlatch.Ran, "", 10*time.Millisecond)
+		c.add(time.Millisecond)
+	}
+}
