serve, front: calls of running requests are recognised and come first

Cause: admission orders calls of running requests before new requests and does not refuse them for their objective, but no part ever marked a request as such a call (log lines say inner=false for all).

Change: the daemon keeps the ids of the requests at the server beside it; a request whose id is such an id, a separator and more is a call of it. Servers that do not trace their calls so are treated as before.

Ruled out: telling calls by their route, since no field of the configuration says which routes only servers use; by address, since callers and server share one.

--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -116,7 +116,7 @@
 	router := front.NewRouter(routing)
 	cfg := front.Config{Control: &d.desk, Handler: router, Metrics: d.metrics, Front: d.cfg.Front, Headers: headers}
 	if m := d.cfg.Mesh; m != nil {
-		cfg.Caller, cfg.Idle, cfg.Pace = m.Service, meshIdle, pacer
+		cfg.Caller, cfg.Idle, cfg.Pace, cfg.Calls = m.Service, meshIdle, pacer, d.serve.Calls
 	} else {
 		cfg.Recorder = &d.burn
 	}
--- a/front/routed_test.go
+++ b/front/routed_test.go
@@ -160,3 +160,15 @@
 	r.Parts = []pollenlatch.Part{{Service: "c", Weight: 3}}
 	require.Equal(t, map[string]int{"c": 10}, count(10))
 }
+
+// A call of a running request must be marked, or it waits behind new requests
+// while the request that made it holds a slot.
+func TestParseCall(t *testing.T) {
+	s, _ := routedServer(t)
+	s.cfg.Calls = func(id string) bool { return id == "i.1" }
+	for id, want := range map[string]bool{"i.1": true, "i": false} {
+		q, f := s.parseRouted(routedRequest(map[string]string{"Id": id, "Left": "600"}), time.Now())
+		require.Nil(t, f)
+		require.Equal(t, want, q.Inner, id)
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -46,6 +46,9 @@
 	// headers in place of those of section 6 of the design page.
 	Headers *pollenlatch.Headers
 	Caller  string // service beside this daemon; told to servers with Headers
+	// Calls reports whether a request with an id is a call of a request that the
+	// server beside this daemon runs; nil recognises none.
+	Calls func(id string) bool
 	// Pace gives long answers to callers their turns on this instance's network
 	// link; nil has no bound.
 	Pace pollenlatch.Pacer
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -68,6 +68,8 @@
 	cfg   Config
 	meter *meter
 	lines *logs.Outcomes
+
+	exchanges exchanges
 }
 
 // New returns the pipeline.
@@ -204,7 +206,7 @@
 		q.Body = run.Body()
 	}
 	start := time.Now()
-	resp, err := s.cfg.Exchanger.Exchange(ctx, &q, check)
+	resp, err := s.exchange(ctx, &q, check)
 	if err != nil {
 		f := fail(err)
 		proven = f.Outcome == pollenlatch.NotRun
@@ -229,6 +231,14 @@
 	return resp, nil
 }
 
+// exchange passes a request to the server and keeps its id until the answer
+// begins: a server that makes calls waits for them before it answers.
+func (s *Server) exchange(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
+	s.exchanges.begin(r.ID)
+	defer s.exchanges.end(r.ID)
+	return s.cfg.Exchanger.Exchange(ctx, r, check)
+}
+
 // cut returns the failure of a request whose answer broke off.
 func (s *Server) cut(err error) *pollenlatch.Failure {
 	f := *asFailure(err)
