front: the objective of a caller that comes back runs since its first attempt

Cause: a refused caller that comes back states how long it will still wait, but its request got a whole new objective.

Change: the front learns by route how long first attempts say that they will wait (they differ by 15%); a request that states clearly less has waited for the rest. Calls of running requests are left out, their time depends on the request that makes them.

Ruled out: the link and the slots themselves; both carried as many answers before.

TestRoutedTimeout goes through parseRouted now and also checks the deadline; the function that it called has become left. TestParseReturning fails without the change by reading: Aim was now + target for every request; it was not run on that code.

--- a/front/routed.go
+++ b/front/routed.go
@@ -52,13 +52,20 @@
 	if h.Key, f = one(r, names.Key); f != nil {
 		return nil, f
 	}
-	timeout, f := s.routedTimeout(r, &route)
+	left, f := s.left(r)
 	if f != nil {
 		return nil, f
 	}
-	q.Deadline, h.Timeout = now.Add(timeout), timeout
+	h.Timeout = route.Timeout
+	if left >= 0 {
+		h.Timeout = min(left, route.Timeout)
+	}
+	q.Deadline = now.Add(h.Timeout)
+	if left > 0 && !h.Inner {
+		q.Waited = s.waits.waited(route.Name, left, now)
+	}
 	if route.Target > 0 {
-		q.Aim = now.Add(route.Target)
+		q.Aim = now.Add(route.Target - q.Waited)
 	}
 	if limit := s.maxBody(atlas); h.Length > limit {
 		return nil, failed(pollenlatch.TooLarge, http.StatusRequestEntityTooLarge, "body of %d bytes; the limit is %d", h.Length, limit)
@@ -75,18 +82,18 @@
 	return r.Host
 }
 
-// routedTimeout returns how long a request may take: no longer than the caller
-// waits, or than the route allows.
-func (s *Server) routedTimeout(r *http.Request, route *pollenlatch.Route) (time.Duration, *pollenlatch.Failure) {
+// left returns how long the caller of a request says that it will wait, or -1
+// when it does not say so.
+func (s *Server) left(r *http.Request) (time.Duration, *pollenlatch.Failure) {
 	v, f := one(r, s.cfg.Headers.Deadline)
 	if f != nil || v == "" {
-		return route.Timeout, f
+		return -1, f
 	}
 	ms, err := strconv.ParseInt(v, 10, 32)
 	if err != nil {
 		return 0, badRequest("header %s is %q, not a number of milliseconds", s.cfg.Headers.Deadline, v)
 	}
-	return min(time.Duration(ms)*time.Millisecond, route.Timeout), nil
+	return max(0, time.Duration(ms)*time.Millisecond), nil
 }
 
 func (s *Server) maxBody(a pollenlatch.Atlas) int64 {
--- a/front/routed_test.go
+++ b/front/routed_test.go
@@ -128,15 +128,17 @@
 
 // A caller cannot make a request last longer than its route allows.
 func TestRoutedTimeout(t *testing.T) {
-	s, c := routedServer(t)
+	s, _ := routedServer(t)
+	now := time.Now()
 	for header, want := range map[string]time.Duration{"": time.Second, "300": 300 * time.Millisecond, "90000": time.Second} {
-		r := routedRequest(nil)
+		r := routedRequest(map[string]string{"Id": "i"})
 		if header != "" {
 			r.Header.Set("Left", header)
 		}
-		d, f := s.routedTimeout(r, c.view.route)
+		q, f := s.parseRouted(r, now)
 		require.Nil(t, f)
-		require.Equal(t, want, d, header)
+		require.Equal(t, want, q.Timeout, header)
+		require.Equal(t, now.Add(want), q.Deadline, header)
 	}
 }
 
@@ -172,3 +174,21 @@
 		require.Equal(t, want, q.Inner, id)
 	}
 }
+
+// The objective of a caller that comes back runs since its first attempt.
+func TestParseReturning(t *testing.T) {
+	s, _ := routedServer(t)
+	now := time.Now()
+	parse := func(left string) *pollenlatch.Request {
+		q, f := s.parseRouted(routedRequest(map[string]string{"Id": "i", "Left": left}), now)
+		require.Nil(t, f)
+		return q
+	}
+	for range 10 {
+		require.Equal(t, now.Add(200*time.Millisecond), parse("3000").Aim)
+	}
+	q := parse("1900")
+	require.InDelta(t, 1100, q.Waited.Milliseconds(), 20)
+	require.True(t, q.Aim.Before(now), "an objective that has passed counts as open")
+	require.Equal(t, now.Add(time.Second), q.Deadline)
+}
--- a/front/server.go
+++ b/front/server.go
@@ -116,6 +116,7 @@
 	conns  atomic.Int64
 	meter  *meter
 	shares shares
+	waits  waits
 	lines  *logs.Outcomes
 	done   chan struct{}
 	once   sync.Once // closes done
--- a/pick/picker.go
+++ b/pick/picker.go
@@ -38,7 +38,7 @@
 
 	// spill is how many times worse than a remote endpoint the local one must
 	// look before the request leaves the data centre.
-	spill        = 2
+	spill = 2
 	// closeEnough is how many times slower than the best other one the endpoint
 	// beside this daemon may be: the hop that it saves costs both daemons processor
 	// time, and long answers the network link of this instance.
--- a/request.go
+++ b/request.go
@@ -61,7 +61,10 @@
 	Trail    *Trail    // filled in by the router; nil where nobody wants it
 	Deadline time.Time // this process's own clock
 	Aim      time.Time // end of the latency objective; zero when there is none
-	Body     io.Reader // nil when there is none
+	// Waited is how long the caller had been waiting before this attempt, as far
+	// as that is known. Aim takes account of it.
+	Waited time.Duration
+	Body   io.Reader // nil when there is none
 }
 
 // ResponseHead is everything of a server's answer but its body.
