--- a/admit/schedule_test.go
+++ b/admit/schedule_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,6 +17,8 @@
 	t   *testing.T
 	s   schedule
 	now time.Time
+	// length returns how long a request runs; nil takes the time given to pass.
+	length func(*waiter) time.Duration
 }
 
 func newHarness(t *testing.T, slots int) *harness {
@@ -53,7 +57,11 @@
 	for end := r.now.Add(d); r.now.Before(end); {
 		r.now = r.now.Add(time.Millisecond)
 		for w := range r.s.running {
-			if r.now.Sub(w.started) >= run {
+			end := run
+			if r.length != nil {
+				end = r.length(w)
+			}
+			if r.now.Sub(w.started) >= end {
 				r.s.finish(w, r.now)
 				ended++
 			}
@@ -229,3 +237,66 @@
 		})
 	}
 }
+
+// Callers that come back late must get what work in time leaves of the server, and
+// no more: refused too soon they leave slots free, started too soon they make others
+// late.
+func TestLateWorkFillsTheServer(t *testing.T) {
+	const used, kept = 0.95, 0.95 // of the room, and of the work in time without late work
+	for _, tt := range []struct{ fresh, late float64 }{{0.7, 0.6}, {0.9, 0.6}, {2, 1}} {
+		t.Run(fmt.Sprintf("%.1f and %.1f", tt.fresh, tt.late), func(t *testing.T) {
+			_, alone := playLate(t, tt.fresh, 0)
+			busy, within := playLate(t, tt.fresh, tt.late)
+			t.Logf("used %.3f, in time %.3f, %.3f without late work", busy, within, alone)
+			require.GreaterOrEqual(t, busy, used)
+			require.GreaterOrEqual(t, within, kept*alone)
+		})
+	}
+}
+
+// playLate plays 60 s of new requests and of late ones, each as a share of what a
+// server has room for. It returns the share of the room that was used and the share
+// of the new requests that were answered in time.
+func playLate(t *testing.T, fresh, late float64) (used, within float64) {
+	t.Helper()
+	const (
+		run, aim, deadline = 220 * time.Millisecond, 600 * time.Millisecond, 1500 * time.Millisecond
+		slots              = 9
+		steps              = 60_000 // milliseconds
+		spread             = 0.7    // of the run times: most are shorter than the mean, a few much longer
+		perStep            = slots * float64(time.Millisecond) / float64(run)
+	)
+	arrivals, runs := rand.New(rand.NewPCG(1, 1)), rand.New(rand.NewPCG(1, 2))
+	r := newHarness(t, slots)
+	r.teach("r", run)
+	lengths := make(map[*waiter]time.Duration)
+	r.length = func(w *waiter) time.Duration {
+		if _, ok := lengths[w]; !ok {
+			lengths[w] = time.Duration(float64(run) * math.Exp(spread*runs.NormFloat64()-spread*spread/2))
+		}
+		return lengths[w]
+	}
+	var offered []*task
+	for range steps {
+		if arrivals.Float64() < fresh*perStep {
+			offered = append(offered, r.offer("r", pollenlatch.Normal, aim, deadline))
+		}
+		if arrivals.Float64() < late*perStep {
+			r.arrive(&task{waiter: &waiter{Work: pollenlatch.Work{
+				Route: "r", Class: pollenlatch.Normal, Aim: r.now.Add(-time.Second), Deadline: r.now.Add(deadline),
+			}}})
+		}
+		r.pass(time.Millisecond, run)
+	}
+	var busy time.Duration
+	for _, d := range lengths {
+		busy += d
+	}
+	good := 0
+	for _, j := range offered {
+		if j.started && !j.waiter.started.Add(lengths[j.waiter]).After(j.Aim) {
+			good++
+		}
+	}
+	return busy.Seconds() / (slots * steps / 1000), float64(good) / float64(len(offered))
+}
