conf: the drain ends 0.4 s before the grace that the platform states

Cause: the drain was 5 s whatever the settings say. With a grace of 6 s an answer that was still on a narrow link 5 s after the signal was cut off, though its server had made it; with a grace under 5 s the process would be killed in its drain.

Change: the drain is the stated grace less 0.4 s for the end of the process, and at least half of it. 5 s stay where no grace is stated.

TestDrainFollowsGrace fails on the former code (5 s instead of 5.6 s).

--- a/conf/adapt.go
+++ b/conf/adapt.go
@@ -29,8 +29,12 @@
 	// processors with other work.
 	meshElection = 500 * time.Millisecond
 	meshGrace    = 2 * time.Second
-	// meshDrain leaves a second of the platform's six for the process's end.
+	// meshDrain is for platforms that do not say when they kill a process that was
+	// told to end.
 	meshDrain = 5 * time.Second
+	// endTime is left of the platform's grace for the end of the process after the
+	// drain: closing connections and flushing the log, on a share of a core.
+	endTime = 400 * time.Millisecond
 )
 
 // TimingsFor returns the times of a deployment whose servers send heartbeats at
@@ -85,6 +89,9 @@
 	}
 	if !d.Has("timings") {
 		s.Timings = TimingsFor(s.Beat)
+		if grace := s.Bounds.Grace; grace > 0 {
+			s.Timings.Drain = max(grace-endTime, grace/2)
+		}
 	}
 }
 
--- a/conf/adapt_test.go
+++ b/conf/adapt_test.go
@@ -39,6 +39,22 @@
 	}
 }
 
+// A drain that ignores the platform's grace either ends while answers are still on
+// their way, or lasts until the process is killed in the middle of them.
+func TestDrainFollowsGrace(t *testing.T) {
+	for grace, want := range map[time.Duration]time.Duration{
+		6 * time.Second:        5600 * time.Millisecond,
+		4 * time.Second:        3600 * time.Millisecond,
+		300 * time.Millisecond: 150 * time.Millisecond,
+	} {
+		text := strings.Replace(adapted, "beat: 1s\n", "beat: 1s\nbounds: {grace: "+grace.String()+"}\n", 1)
+		require.NotEqual(t, adapted, text)
+		s, err := Parse("x.yaml", []byte(text))
+		require.NoError(t, err)
+		require.Equal(t, want, s.Timings.Drain, grace)
+	}
+}
+
 // Settings that cannot work must stop the start, with the field's name.
 func TestBadAdapted(t *testing.T) {
 	for _, tt := range []struct{ name, old, text, want string }{
