state, ctrl: a change of the table copies little; grants are compared in place

One entry copied the map with the tokens of all released ranges (half of 65,536 ranges in a release), a page of 512 ranges for each group of 8 that moved, and the list of all grants of the daemon's own server.

Change: tokens are kept by page and shared until one changes; a page holds 64 ranges; holder.follow compares the grants in place and makes the list only when one differs.

--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -402,10 +402,13 @@
 
 // follow starts hand-overs and renews the server's grants.
 func (h *holder) follow(me pollenlatch.Instance) {
-	var grants []pollenlatch.Grant
+	// Most changes of the state concern other instances, so the list of grants is
+	// only made anew when one of them differs.
+	owned, same := 0, h.granted
 	moves := make(map[lease.Key]*move)
 	h.state.Owned(me.ID, "", func(o pollenlatch.Owner) bool {
-		grants = append(grants, pollenlatch.Grant{Shard: o.Shard, Fence: o.Fence})
+		same = same && owned < len(h.grants) && h.grants[owned] == grantOf(o)
+		owned++
 		if !o.Frozen() {
 			return true
 		}
@@ -426,11 +429,21 @@
 		return true
 	})
 	h.moves = moves
-	if !h.granted || !slices.Equal(grants, h.grants) {
-		h.grants, h.granted = grants, true
-		_, end := h.held.Lease()
-		h.do(Grant{Grants: grants, Until: end})
+	if same && owned == len(h.grants) {
+		return
 	}
+	grants := make([]pollenlatch.Grant, 0, owned)
+	h.state.Owned(me.ID, "", func(o pollenlatch.Owner) bool {
+		grants = append(grants, grantOf(o))
+		return true
+	})
+	h.grants, h.granted = grants, true
+	_, end := h.held.Lease()
+	h.do(Grant{Grants: grants, Until: end})
+}
+
+func grantOf(o pollenlatch.Owner) pollenlatch.Grant {
+	return pollenlatch.Grant{Shard: o.Shard, Fence: o.Fence}
 }
 
 func (h *holder) emptied(e Empty) {
--- a/state/apply.go
+++ b/state/apply.go
@@ -82,7 +82,6 @@
 	at      pollenlatch.Version // of this entry
 	pages   map[int]struct{}    // pages that are already private
 	keys    bool                // the map of keys is already private
-	tokens  bool                // the map of tokens is already private
 }
 
 func newDraft(s *State, index pollenlatch.Version) *draft {
@@ -160,10 +159,7 @@
 		e.private()[o.Key] = o
 		return
 	}
-	e.page(int(o.Range>>pageShift)).set(int(o.Range&pageMask), o)
-	if e.service.tokens[o.Range] != o.Token {
-		e.privateTokens().setToken(o.Range, o.Token)
-	}
+	e.page(int(o.Range>>tableShift)).set(int(o.Range&tableMask), o)
 }
 
 // drop removes the record of a hot key.
@@ -186,15 +182,6 @@
 	return p
 }
 
-// privateTokens returns the service after making its tokens private.
-func (e *edit) privateTokens() *service {
-	if !e.tokens {
-		e.service.tokens = maps.Clone(e.service.tokens)
-		e.tokens = true
-	}
-	return e.service
-}
-
 func (e *edit) private() map[string]pollenlatch.Owner {
 	if !e.keys {
 		e.service.keys = cloned(e.service.keys)
--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -179,3 +179,33 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// One entry that moves 64 groups of 8 ranges, as when servers are replaced one after
+// the other, in a service of 65,536 ranges of which half have a token of their last
+// server.
+func BenchmarkMoveGroups(b *testing.B) {
+	w := filled(b, []uint32{16})
+	svc := w.s.Services()[0]
+	d := newDraft(w.s, w.s.version+1)
+	for r := range svc.Ranges() / 2 {
+		o, _ := w.s.OwnerAt(pollenlatch.Shard{Service: svc.Name, Range: pollenlatch.Range(r)})
+		d.put(pollenlatch.Owner{Shard: o.Shard, Fence: o.Fence, Last: o.Instance, Token: "5c0e7a21d94b36f8"})
+	}
+	s := d.finish()
+	var items []pollenlatch.AssignItem
+	for group := range 64 {
+		for k := range 8 {
+			shard := pollenlatch.Shard{Service: svc.Name, Range: pollenlatch.Range(group*512 + k)}
+			o, _ := s.OwnerAt(shard)
+			items = append(items, pollenlatch.AssignItem{Shard: shard, To: 2, Expect: o.Fence, Token: "7a21d94b36f85c0e"})
+		}
+	}
+	c := &pollenlatch.Command{Assign: &pollenlatch.Assign{Items: items}}
+	if _, res := s.Apply(s.version+1, c); len(res.Changed) != len(items) {
+		b.Fatal(res.Rejected)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Apply(s.version+1, c)
+	}
+}
--- a/state/instance.go
+++ b/state/instance.go
@@ -124,7 +124,7 @@
 		// does nothing else.
 		for i := range p.holder {
 			if p.holder[i]&^flagNoRecords == holder(id) {
-				take(svc.at(pollenlatch.Range(n<<pageShift | i)))
+				take(svc.at(pollenlatch.Range(n<<tableShift | i)))
 			}
 		}
 		if p.next == nil {
@@ -132,7 +132,7 @@
 		}
 		for i, next := range p.next {
 			if next == id && p.holder[i]&^flagNoRecords != holder(id) {
-				take(svc.at(pollenlatch.Range(n<<pageShift | i)))
+				take(svc.at(pollenlatch.Range(n<<tableShift | i)))
 			}
 		}
 	}
--- a/state/load.go
+++ b/state/load.go
@@ -127,7 +127,11 @@
 		if !svc.has(t.Range) {
 			return nil, fmt.Errorf("token of range %d, which does not exist", t.Range)
 		}
-		svc.setToken(t.Range, t.Token)
+		p := &svc.pages[t.Range>>tableShift]
+		if *p == nil {
+			*p = &page{at: s.version}
+		}
+		(*p).setToken(int(t.Range&tableMask), t.Token)
 	}
 	return svc, s.loadKeys(svc, img.Keys)
 }
@@ -194,11 +198,11 @@
 		if o.Fence == 0 && o.Last == 0 && !o.NoRecords {
 			continue
 		}
-		p := &svc.pages[r>>pageShift]
+		p := &svc.pages[r>>tableShift]
 		if *p == nil {
 			*p = &page{at: s.version}
 		}
-		(*p).set(r&pageMask, o)
+		(*p).set(r&tableMask, o)
 	}
 	if len(d.b) > 0 {
 		return errTable
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -129,8 +129,13 @@
 
 func (s *service) image() serviceImage {
 	img := serviceImage{Service: s.Service, Table: s.encodeTable()}
-	for _, r := range slices.Sorted(maps.Keys(s.tokens)) {
-		img.Tokens = append(img.Tokens, tokenImage{Range: r, Token: s.tokens[r]})
+	for n, p := range s.pages {
+		if p == nil {
+			continue
+		}
+		for _, i := range slices.Sorted(maps.Keys(p.tokens)) {
+			img.Tokens = append(img.Tokens, tokenImage{Range: pollenlatch.Range(n<<tableShift | i), Token: p.tokens[i]})
+		}
 	}
 	for _, k := range s.sortedKeys() {
 		o := s.keys[k]
--- a/state/table.go
+++ b/state/table.go
@@ -1,6 +1,10 @@
 package state
 
-import "pollenlatch"
+import (
+	"maps"
+
+	"pollenlatch"
+)
 
 // MaxInstanceID bounds instance numbers. At 1,400 new names a day it is reached
 // after 32 years, and the list of pages of instances stays below 256 KB.
@@ -15,16 +19,29 @@
 	holderID             = holder(MaxInstanceID)
 )
 
-// page holds the records of 512 ranges in 12 bytes each. It is immutable once
+const (
+	// A change copies the pages that it touches. Groups of 8 neighbouring ranges
+	// change hands together, so a page of more of them copies mostly what stays; a
+	// page of fewer makes the list of pages long, which is copied as well.
+	tableShift = 6
+	tableSize  = 1 << tableShift
+	tableMask  = tableSize - 1
+)
+
+// page holds the records of 64 ranges in 12 bytes each. It is immutable once
 // it belongs to a State.
 type page struct {
 	at     pollenlatch.Version // of its last change, or of the snapshot that it came with
-	fence  [pageSize]pollenlatch.Fence
-	holder [pageSize]holder
+	fence  [tableSize]pollenlatch.Fence
+	holder [tableSize]holder
 	// next holds the targets of hand-overs. It is nil when no range of the
 	// page is frozen, which is the usual case.
-	next   *[pageSize]pollenlatch.InstanceID
+	next   *[tableSize]pollenlatch.InstanceID
 	frozen int
+	// tokens of ranges that a server has released for its next one, nil when there
+	// are none. The map may belong to other pages too unless own is set.
+	tokens map[int]string
+	own    bool
 }
 
 func (p *page) clone() *page {
@@ -33,6 +50,7 @@
 		next := *p.next
 		c.next = &next
 	}
+	c.own = false
 	return &c
 }
 
@@ -49,6 +67,7 @@
 	if p.next != nil {
 		o.Next = p.next[i]
 	}
+	o.Token = p.tokens[i]
 	return o
 }
 
@@ -62,6 +81,27 @@
 	}
 	p.fence[i], p.holder[i] = o.Fence, h
 	p.setNext(i, o.Next)
+	p.setToken(i, o.Token)
+}
+
+func (p *page) setToken(i int, token string) {
+	if p.tokens[i] == token {
+		return
+	}
+	if !p.own {
+		p.tokens, p.own = maps.Clone(p.tokens), true
+	}
+	switch {
+	case token == "":
+		delete(p.tokens, i)
+	case p.tokens == nil:
+		p.tokens = map[int]string{i: token}
+	default:
+		p.tokens[i] = token
+	}
+	if len(p.tokens) == 0 {
+		p.tokens = nil
+	}
 }
 
 func (p *page) setNext(i int, next pollenlatch.InstanceID) {
@@ -69,7 +109,7 @@
 		if next == 0 {
 			return
 		}
-		p.next = new([pageSize]pollenlatch.InstanceID)
+		p.next = new([tableSize]pollenlatch.InstanceID)
 	}
 	if p.next[i] != 0 {
 		p.frozen--
@@ -89,13 +129,10 @@
 	begun pollenlatch.Version          // of its creation, or of the snapshot that it came with
 	pages []*page                      // nil: no range of the page ever had an owner
 	keys  map[string]pollenlatch.Owner // records of hot keys
-	// tokens of ranges that a server has released for its next one. Few ranges
-	// have one: it ends with the next change of the owner.
-	tokens map[pollenlatch.Range]string
 }
 
 func newService(s pollenlatch.Service) *service {
-	return &service{Service: s, pages: make([]*page, (s.Ranges()+pageMask)>>pageShift)}
+	return &service{Service: s, pages: make([]*page, (s.Ranges()+tableMask)>>tableShift)}
 }
 
 func (s *service) shard(r pollenlatch.Range) pollenlatch.Shard {
@@ -106,26 +143,13 @@
 
 func (s *service) at(r pollenlatch.Range) pollenlatch.Owner {
 	var o pollenlatch.Owner
-	if p := s.pages[r>>pageShift]; p != nil {
-		o = p.get(int(r & pageMask))
+	if p := s.pages[r>>tableShift]; p != nil {
+		o = p.get(int(r & tableMask))
 	}
 	o.Shard = s.shard(r)
-	o.Token = s.tokens[r]
 	return o
 }
 
-// setToken changes the token of a range of a service that nobody else holds.
-func (s *service) setToken(r pollenlatch.Range, token string) {
-	if token == "" {
-		delete(s.tokens, r)
-		return
-	}
-	if s.tokens == nil {
-		s.tokens = make(map[pollenlatch.Range]string)
-	}
-	s.tokens[r] = token
-}
-
 // owner returns the owner of a shard. ok is false when the service has no
 // such range, or the key has no record of its own.
 func (s *service) owner(p pollenlatch.Shard) (o pollenlatch.Owner, ok bool) {
@@ -166,8 +190,8 @@
 		if p == nil || p.at <= since {
 			continue
 		}
-		for i := range min(pageSize, svc.Ranges()-n<<pageShift) {
-			f(svc.at(pollenlatch.Range(n<<pageShift | i)))
+		for i := range min(tableSize, svc.Ranges()-n<<tableShift) {
+			f(svc.at(pollenlatch.Range(n<<tableShift | i)))
 		}
 	}
 	return true
@@ -187,7 +211,7 @@
 			if h&^flagNoRecords != holder(id) {
 				continue
 			}
-			if !f(s.at(pollenlatch.Range(i<<pageShift | j))) {
+			if !f(s.at(pollenlatch.Range(i<<tableShift | j))) {
 				return false
 			}
 		}
--- a/state/vec.go
+++ b/state/vec.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// A page holds 512 elements: changing one of 2^19 ranges copies a page of 6 KB
-// and a list of 1,024 pages of 8 KB, which is close to the least possible sum.
+// A page holds 512 elements: changing one of 2^19 copies a page of 4 KB and a list
+// of 1,024 pages of 8 KB, which is close to the least possible sum.
 const (
 	pageShift = 9
 	pageSize  = 1 << pageShift
