serve, front, pick: calls of repeated runs are charged to the budget of repeats

The rest are calls: a run of the listing service that is repeated makes its calls once more, and those count as repeats at the claim service. They were left to the unused half of the bound, which the repeats of a service with many calls exceed.

Change: a request that is sent to a second server is marked, the daemon beside that server knows its calls by their ids, and each is charged to the budget of the service that it goes to. A charge is never refused; later repeats wait until it is made up for.

Ruled out: connections that were replaced before a request was written (nothing had arrived), and repeats taken without the budget (each takes one after the first send).

TestCallsOfRepeatsAreCharged fails without the charge (10 repeats left instead of 6); TestRepeats and TestCaused have the new cases.

--- a/front/retry_test.go
+++ b/front/retry_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollenlatch"
+	"pollenlatch/pick"
 )
 
 // A repeat that should not be sent runs a claim twice; one that should be sent
@@ -104,3 +105,51 @@
 		})
 	}
 }
+
+// The calls of a run that is a repeat are repeats at the service that they go to.
+// Uncounted, they add to the repeats that the budget allows, and the sum breaks the
+// bound of all daemons.
+func TestCallsOfRepeatsAreCharged(t *testing.T) {
+	const most = 10
+	send := func(x *rig, repeat bool) {
+		q := post("catalogue", "")
+		q.Route, q.Safe, q.Attempts, q.Repeat = "r", true, 2, repeat
+		_, err := x.router.Handle(t.Context(), q)
+		require.NoError(t, err)
+	}
+	allowed := func(x *rig) (n int) {
+		for x.router.cfg.Repeats.Take("catalogue") {
+			n++
+		}
+		return n
+	}
+	newOne := func(f func(n int, r *pollenlatch.Request) (*pollenlatch.Response, error)) *rig {
+		x := newRig(2, f)
+		x.router.cfg.Repeats = &pick.Repeats{Share: 0.1, Most: most}
+		x.control.view.endpoints = []pollenlatch.Instance{instance(2), instance(3)}
+		return x
+	}
+	x := newOne(answers(t))
+	for range 4 {
+		send(x, true)
+	}
+	require.Equal(t, most-4, allowed(x))
+	x = newOne(answers(t))
+	for range 4 {
+		send(x, false)
+	}
+	require.Equal(t, most, allowed(x))
+
+	var marks []bool
+	x = newOne(func(n int, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+		marks = append(marks, r.Repeat)
+		if len(marks) == 1 {
+			f := failed(pollenlatch.QueueFull, 503, "full")
+			f.Sent = true
+			return nil, f
+		}
+		return ok("remote"), nil
+	})
+	send(x, false)
+	require.Equal(t, []bool{false, true}, marks, "the second server does not know that its run is a repeat")
+}
--- a/front/routed.go
+++ b/front/routed.go
@@ -48,7 +48,9 @@
 	if h.ID, f = one(r, names.Request); f != nil {
 		return nil, f
 	}
-	h.Inner = h.ID != "" && s.cfg.Calls != nil && s.cfg.Calls(h.ID)
+	if h.ID != "" && s.cfg.Calls != nil {
+		h.Inner, h.Repeat = s.cfg.Calls(h.ID)
+	}
 	if h.Key, f = one(r, names.Key); f != nil {
 		return nil, f
 	}
--- a/front/routed_test.go
+++ b/front/routed_test.go
@@ -167,11 +167,11 @@
 // while the request that made it holds a slot.
 func TestParseCall(t *testing.T) {
 	s, _ := routedServer(t)
-	s.cfg.Calls = func(id string) bool { return id == "i.1" }
-	for id, want := range map[string]bool{"i.1": true, "i": false} {
+	s.cfg.Calls = func(id string) (call, repeat bool) { return id == "i.1" || id == "j.1", id == "j.1" }
+	for id, want := range map[string][2]bool{"i.1": {true, false}, "j.1": {true, true}, "i": {}} {
 		q, f := s.parseRouted(routedRequest(map[string]string{"Id": id, "Left": "600"}), time.Now())
 		require.Nil(t, f)
-		require.Equal(t, want, q.Inner, id)
+		require.Equal(t, want, [2]bool{q.Inner, q.Repeat}, id)
 	}
 }
 
--- a/front/router.go
+++ b/front/router.go
@@ -104,7 +104,11 @@
 	}
 	retry := x.again
 	if r.Routed() {
-		rt.cfg.Repeats.Request(r.Service)
+		if r.Repeat {
+			rt.cfg.Repeats.Charge(r.Service)
+		} else {
+			rt.cfg.Repeats.Request(r.Service)
+		}
 		retry = x.againRouted
 	} else {
 		rt.cfg.Budget.Request()
@@ -238,6 +242,7 @@
 	t := x.target
 	q := *x.request
 	q.Version, q.Shard, q.Fence, q.Safe = t.version, t.owner.Shard, t.owner.Fence, t.safe
+	q.Repeat = q.Repeat || x.sends > 0
 	start := time.Now()
 	if x.body != nil {
 		if q.Body = x.body.rewind(); q.Body == nil {
--- a/front/server.go
+++ b/front/server.go
@@ -47,8 +47,9 @@
 	Headers *pollenlatch.Headers
 	Caller  string // service beside this daemon; told to servers with Headers
 	// Calls reports whether a request with an id is a call of a request that the
-	// server beside this daemon runs; nil recognises none.
-	Calls func(id string) bool
+	// server beside this daemon runs, and whether that one is a repeat; nil
+	// recognises none.
+	Calls func(id string) (call, repeat bool)
 	// Pace gives long answers to callers their turns on this instance's network
 	// link; nil has no bound.
 	Pace pollenlatch.Pacer
--- a/pick/repeats.go
+++ b/pick/repeats.go
@@ -25,6 +25,14 @@
 	r.tokens[r.known(service)] = min(r.Most, r.tokens[service]+r.Share)
 }
 
+// Charge counts a repeat that cannot be left out: a call of a run that is itself a
+// repeat. Later repeats wait until it is made up for.
+func (r *Repeats) Charge(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens[r.known(service)]--
+}
+
 // Has reports whether a repeat is allowed now.
 func (r *Repeats) Has(service string) bool {
 	r.mu.Lock()
--- a/pick/repeats_test.go
+++ b/pick/repeats_test.go
@@ -41,6 +41,21 @@
 		}
 		require.Equal(t, 3, taken)
 	})
+	t.Run("what is charged is made up for", func(t *testing.T) {
+		r := Repeats{Share: 0.1, Most: 2}
+		for range 5 {
+			r.Charge("s")
+		}
+		require.False(t, r.Has("s"))
+		for range 30 {
+			r.Request("s")
+		}
+		require.False(t, r.Take("s"))
+		for range 11 {
+			r.Request("s")
+		}
+		require.True(t, r.Take("s"))
+	})
 	t.Run("services do not share", func(t *testing.T) {
 		r := Repeats{Share: 0.1, Most: 1}
 		require.True(t, r.Take("a"))
--- a/request.go
+++ b/request.go
@@ -37,7 +37,7 @@
 	Target   time.Duration `protobuf:"varint,20,opt,name=target"`   // time left of the latency objective when the head was sent; below 0 when it has passed
 	Bulk     bool          `protobuf:"varint,21,opt,name=bulk"`     // the answer is large
 	Inner    bool          `protobuf:"varint,22,opt,name=inner"`    // a call that a server makes while it runs a request
-	Repeat   bool          `protobuf:"varint,23,opt,name=repeat"`   // another server may have run it before
+	Repeat   bool          `protobuf:"varint,23,opt,name=repeat"`   // it was sent to a server before, or is a call of a request that was
 }
 
 // Routed reports whether a Route says how the request is treated.
--- a/serve/calls.go
+++ b/serve/calls.go
@@ -11,38 +11,49 @@
 // daemon. The zero value is ready to use. It is safe for concurrent use.
 type exchanges struct {
 	mu  sync.Mutex
-	ids map[string]int // exchanges with the id
+	ids map[string]parent
+}
+
+// parent is a request at the server.
+type parent struct {
+	exchanges int  // with its id
+	repeat    bool // it was sent to a server before
 }
 
 // begin adds an exchange.
-func (e *exchanges) begin(id string) {
+func (e *exchanges) begin(id string, repeat bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ids == nil {
-		e.ids = make(map[string]int)
+		e.ids = make(map[string]parent)
 	}
-	e.ids[id]++
+	p := e.ids[id]
+	e.ids[id] = parent{exchanges: p.exchanges + 1, repeat: p.repeat || repeat}
 }
 
 // end removes an exchange.
 func (e *exchanges) end(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.ids[id]--; e.ids[id] <= 0 {
+	p := e.ids[id]
+	if p.exchanges--; p.exchanges <= 0 {
 		delete(e.ids, id)
+		return
 	}
+	e.ids[id] = p
 }
 
-// caused reports whether a request comes from one of the exchanges.
-func (e *exchanges) caused(id string) bool {
+// caused reports whether a request comes from one of the exchanges, and whether
+// that is a repeat.
+func (e *exchanges) caused(id string) (call, repeat bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for parent := range e.ids {
-		if extends(id, parent) {
-			return true
+	for name, p := range e.ids {
+		if extends(id, name) {
+			return true, p.repeat
 		}
 	}
-	return false
+	return false, false
 }
 
 // extends reports whether an id consists of a parent's id, a separator and more.
@@ -57,7 +68,8 @@
 }
 
 // Calls reports whether a request with the id is a call that the server beside
-// this daemon makes while it runs another request. A server that traces its calls
+// this daemon makes while it runs another request, and whether that request was
+// sent to a server before: its calls are then made once more as well. A server that traces its calls
 // extends the id of the request that it runs; other calls are not recognised and
 // count as requests of callers.
-func (s *Server) Calls(id string) bool { return s.exchanges.caused(id) }
+func (s *Server) Calls(id string) (call, repeat bool) { return s.exchanges.caused(id) }
--- a/serve/calls_test.go
+++ b/serve/calls_test.go
@@ -24,17 +24,30 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var e exchanges
-			e.begin(tt.running)
-			require.Equal(t, tt.want, e.caused(tt.id))
+			e.begin(tt.running, false)
+			call, _ := e.caused(tt.id)
+			require.Equal(t, tt.want, call)
 			e.end(tt.running)
-			require.False(t, e.caused(tt.id), "the request has ended")
+			call, _ = e.caused(tt.id)
+			require.False(t, call, "the request has ended")
 		})
 	}
 	t.Run("two exchanges with one id", func(t *testing.T) {
 		var e exchanges
-		e.begin("a")
-		e.begin("a")
+		e.begin("a", false)
+		e.begin("a", true)
 		e.end("a")
-		require.True(t, e.caused("a.1"))
+		call, repeat := e.caused("a.1")
+		require.True(t, call)
+		require.True(t, repeat)
+	})
+	t.Run("a call of a repeat", func(t *testing.T) {
+		var e exchanges
+		e.begin("a", true)
+		e.begin("b", false)
+		_, repeat := e.caused("a.1")
+		require.True(t, repeat)
+		_, repeat = e.caused("b.1")
+		require.False(t, repeat)
 	})
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -234,7 +234,7 @@
 // exchange passes a request to the server and keeps its id until the answer
 // begins: a server that makes calls waits for them before it answers.
 func (s *Server) exchange(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
-	s.exchanges.begin(r.ID)
+	s.exchanges.begin(r.ID, r.Repeat)
 	defer s.exchanges.end(r.ID)
 	return s.cfg.Exchanger.Exchange(ctx, r, check)
 }
