--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -130,7 +130,7 @@
 func (s *service) image() serviceImage {
 	img := serviceImage{Service: s.Service, Table: s.encodeTable()}
 	for n, p := range s.pages {
-		if p == nil {
+		if p == nil || len(p.tokens) == 0 {
 			continue
 		}
 		for _, i := range slices.Sorted(maps.Keys(p.tokens)) {
