front: run pipelined idempotent requests side by side

Ways weighed: a reader and writer of our own in place of net/http (all of its limits, time-outs and shutdown anew); a library's server, of which fasthttp does not notice callers that leave; and net/http as it is, over a connection that reads on while a handler runs and starts what may run early. The last was built: net/http still parses and answers every request in order, and a request that is not started early takes the same way as before.

A planned stop answers what has been started and leaves the rest unread.

--- a/front/limit_listener.go
+++ b/front/limit_listener.go
@@ -18,6 +18,7 @@
 	closed  chan struct{}
 	once    sync.Once
 	stopped atomic.Bool
+	wrap    func(*limitedConn) net.Conn // wraps accepted connections; nil does not
 }
 
 func newLimitListener(l net.Listener, n int) *limitListener {
@@ -46,7 +47,11 @@
 		}
 		return nil, err
 	}
-	return &limitedConn{Conn: c, slots: l.slots}, nil
+	limited := &limitedConn{Conn: c, slots: l.slots}
+	if l.wrap != nil {
+		return l.wrap(limited), nil
+	}
+	return limited, nil
 }
 
 // Close implements net.Listener.
--- a/front/responder.go
+++ b/front/responder.go
@@ -126,6 +126,15 @@
 	return &b
 }}
 
+// writeResult writes the response or the failure of a request.
+func (rs *responder) writeResult(ctx context.Context, resp *pollenlatch.Response, err error, cancel func()) {
+	if err != nil {
+		rs.writeFailure(asFailure(err))
+		return
+	}
+	rs.writeResponse(ctx, resp, cancel)
+}
+
 // writeResponse copies the server's response to the caller until ctx ends.
 // cancel aborts the request.
 func (rs *responder) writeResponse(ctx context.Context, resp *pollenlatch.Response, cancel func()) {
--- a/front/server.go
+++ b/front/server.go
@@ -123,6 +123,7 @@
 	once        sync.Once // closes done
 
 	keepAlivesDisabled atomic.Bool
+	earlyRequests      atomic.Int64 // started before their turn and not answered yet
 	listener           atomic.Pointer[limitListener]
 }
 
@@ -139,6 +140,7 @@
 		IdleTimeout:       s.cfg.IdleTimeout,
 		MaxHeaderBytes:    s.cfg.MaxHeaderBytes,
 		ConnState:         s.trackConn,
+		ConnContext:       withPipeline,
 		ErrorLog:          newErrorLog(),
 	}
 	return s, nil
@@ -168,6 +170,9 @@
 func (s *Server) Serve(l net.Listener) error {
 	defer s.once.Do(func() { close(s.done) })
 	limited := newLimitListener(l, hardLimitFactor*s.cfg.MaxConns)
+	if s.cfg.Headers != nil {
+		limited.wrap = func(c *limitedConn) net.Conn { return newPipelineConn(c, s) }
+	}
 	s.listener.Store(limited)
 	err := s.http.Serve(limited)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -192,6 +197,7 @@
 	if l := s.listener.Load(); l != nil {
 		l.stopAccepting()
 		s.awaitConnsClosed(ctx)
+		s.awaitEarlyRequests(ctx)
 	}
 	return s.http.Shutdown(ctx)
 }
@@ -205,9 +211,19 @@
 func (s *Server) awaitConnsClosed(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.LingerTimeout)
 	defer cancel()
+	awaitZero(ctx, &s.conns)
+}
+
+// awaitEarlyRequests waits until the requests that were started before their turn
+// have their responses. net/http closes a connection after the response in progress
+// once it shuts down.
+func (s *Server) awaitEarlyRequests(ctx context.Context) { awaitZero(ctx, &s.earlyRequests) }
+
+// awaitZero waits until a count is zero or ctx ends.
+func awaitZero(ctx context.Context, n *atomic.Int64) {
 	t := time.NewTicker(lingerPollInterval)
 	defer t.Stop()
-	for s.conns.Load() > 0 {
+	for n.Load() > 0 {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -224,9 +240,21 @@
 	now := time.Now()
 	rs := &responder{server: s, writer: w, start: now, remote: r.RemoteAddr}
 	defer rs.record()
-	if s.keepAlivesDisabled.Load() {
+	var early *earlyRequest
+	moreStarted := false
+	if p := pipelineOf(r); p != nil {
+		early, moreStarted = p.beginServing(r)
+		defer p.endServing()
+	}
+	// A response that closes the connection would take back the promise to answer
+	// the requests behind it that have been started.
+	if s.keepAlivesDisabled.Load() && !moreStarted {
 		w.Header().Set("Connection", "close")
 	}
+	if early != nil {
+		s.writeEarly(rs, r, early)
+		return
+	}
 	if n := s.conns.Load(); n > int64(s.cfg.MaxConns) {
 		f := notRunFailure(pollenlatch.ReasonRateLimited, http.StatusServiceUnavailable, "too many connections: %d are open", n)
 		f.RetryAfter = defaultRetryAfter
@@ -252,9 +280,16 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	resp, err := s.cfg.Handler.Handle(ctx, req)
-	if err != nil {
-		rs.writeFailure(asFailure(err))
-		return
-	}
-	rs.writeResponse(ctx, resp, cancel)
+	rs.writeResult(ctx, resp, err, cancel)
+}
+
+// writeEarly waits for the result of a request that was started before its turn, and
+// writes its response.
+func (s *Server) writeEarly(rs *responder, r *http.Request, e *earlyRequest) {
+	defer e.end()
+	rs.request, rs.start = e.request, e.arrival
+	stop := context.AfterFunc(r.Context(), e.cancel)
+	defer stop()
+	<-e.done
+	rs.writeResult(r.Context(), e.resp, e.err, e.cancel)
 }
