front: refuse requests at the entry whose target refuses most of them

A busy key gets 213 requests a second where its server runs 27; all 85 instances forward all of them, and the owner's link of 2 Mbit/s is full of requests that it refuses. The same holds for the 9 servers of billing, whose bodies of 4 KB travel to up to three of them under general overload. The owner's forecast is right but its refusal comes after the deadline.

Change: each instance keeps the share of requests that a target accepts, by owner and route, or by service and route. Of what it would send it refuses so much that about two requests are sent for each accepted one, and asks only one server when more than three in ten are refused. Nested requests and the local server are exempt.

--- a/front/retry.go
+++ b/front/retry.go
@@ -18,9 +18,12 @@
 	maxHops = 4
 	// maxOverloadHops limits the instances that refuse a request because of
 	// overload. The picker has compared several already, and under a general
-	// overload each further attempt takes processor time from requests that can
-	// still meet their objective.
+	// overload each further attempt takes processor time, and with its body
+	// capacity of the network link, from requests that can still meet their
+	// objective. So the limit is 1 when the service refuses more than
+	// maxRefusedShare of the requests.
 	maxOverloadHops = 3
+	maxRefusedShare = 0.3
 	// maxOwnerWait limits the wait for the next owner of a key during a
 	// hand-over: the present server finishes its requests for the key and
 	// reports that in a heartbeat, then a commit assigns the next owner.
@@ -52,6 +55,17 @@
 	hasUntried bool // there is an endpoint that was not tried
 	timeLeft   time.Duration
 	replayable bool // the body can be sent again
+
+	refusedShare float64 // share of the requests to the service, or to the owner, that is refused
+}
+
+// maxOverloadHops returns after how many refusals because of overload the caller is
+// told.
+func (a failedAttempt) maxOverloadHops() int {
+	if a.refusedShare > maxRefusedShare {
+		return 1
+	}
+	return maxOverloadHops
 }
 
 // decide returns whether and how to retry a request with a Route. Retries help
@@ -84,7 +98,7 @@
 		}
 		return a.retryElsewhere()
 	case pollenlatch.ReasonOverloaded:
-		if a.hops >= maxOverloadHops {
+		if a.hops >= a.maxOverloadHops() {
 			return noRetry
 		}
 		return a.retryElsewhere()
@@ -119,6 +133,7 @@
 		outcome: f.Outcome, reason: f.Reason, sent: f.Sent, sends: p.sends, maxSends: int(max(p.request.MaxAttempts, 1)),
 		hops: p.attempts, idempotent: p.target.idempotent, keyed: p.target.owner.Instance != 0, hasUntried: p.hasUntried,
 		timeLeft: time.Until(p.request.Deadline), replayable: p.body == nil || !p.body.notRewindable(),
+		refusedShare: p.refusedShare(),
 	}
 	decision := a.decide()
 	if decision == noRetry {
@@ -144,6 +159,15 @@
 	}
 }
 
+// refusedShare returns the share of the requests to the target that is refused.
+func (p *pendingRequest) refusedShare() float64 {
+	k, ok := p.throttleTarget()
+	if !ok {
+		return 0
+	}
+	return p.throttle.refusedShare(k, time.Now())
+}
+
 // ownerReplaced reports whether the owner or the fence of the shard has changed
 // since the last attempt. During a hand-over the owner is still the one that
 // refused the request.
--- a/front/retry_test.go
+++ b/front/retry_test.go
@@ -33,6 +33,9 @@
 		{"key has moved", func(a *failedAttempt) { a.keyed, a.reason = true, pollenlatch.ReasonWrongOwner }, retryAtNextOwner},
 		{"one of several servers overloaded", func(a *failedAttempt) { a.reason = pollenlatch.ReasonOverloaded }, retryNow},
 		{"maximum of overloaded servers", func(a *failedAttempt) { a.reason, a.hops = pollenlatch.ReasonOverloaded, maxOverloadHops }, noRetry},
+		{"overloaded server of an overloaded service", func(a *failedAttempt) {
+			a.reason, a.refusedShare = pollenlatch.ReasonOverloaded, maxRefusedShare+0.1
+		}, noRetry},
 		{"daemon without a lease", func(a *failedAttempt) { a.reason = pollenlatch.ReasonNoLease }, retryNow},
 		{"daemon without a configuration", func(a *failedAttempt) { a.reason = pollenlatch.ReasonNoConfig }, retryNow},
 		{"owner without a lease", func(a *failedAttempt) { a.keyed, a.reason = true, pollenlatch.ReasonNoLease }, noRetry},
--- a/front/router.go
+++ b/front/router.go
@@ -26,6 +26,9 @@
 	// owner is replaced.
 	maxAttempts       = 12
 	defaultRetryAfter = time.Second // for callers
+	// minThrottledRetryAfter is the minimum Retry-After of a request that was not
+	// sent because its target refuses most requests.
+	minThrottledRetryAfter = 100 * time.Millisecond
 )
 
 // RouterConfig is the configuration of a Router.
@@ -48,6 +51,8 @@
 	retries        *metrics.Counter
 	retriesRefused *metrics.Counter // retries that the budget did not allow
 	waits          *metrics.Counter // waits for an owner or endpoint
+	throttled      *metrics.Counter // requests refused because their target refuses most of them
+	throttle       throttle
 }
 
 // NewRouter returns a router. Control, Local, Forwarder and Picker must be set.
@@ -69,6 +74,7 @@
 		retries:        cfg.Metrics.GetOrCreateCounter("pollenlatch_front_retries_total"),
 		retriesRefused: cfg.Metrics.GetOrCreateCounter("pollenlatch_front_retries_refused_total"),
 		waits:          cfg.Metrics.GetOrCreateCounter("pollenlatch_front_waits_total"),
+		throttled:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_throttled_total"),
 	}
 }
 
@@ -121,16 +127,59 @@
 		if f != nil {
 			return nil, p.finalFailure(f)
 		}
+		if f := p.checkThrottle(); f != nil {
+			return nil, p.finalFailure(f)
+		}
 		resp, f := p.sendAttempt(ctx)
 		if f == nil {
+			p.recordThrottle(nil)
 			return resp, nil
 		}
+		p.recordThrottle(f)
 		if !prepareRetry(ctx, f) {
 			return nil, p.finalFailure(f)
 		}
 	}
 }
 
+// throttleTarget returns the target whose overload the throttle observes, or false
+// for a request that it does not apply to: a nested one, whose parent holds a slot
+// meanwhile, and one for the local server, which costs nothing to ask.
+func (p *pendingRequest) throttleTarget() (throttleTarget, bool) {
+	r := p.request
+	if !r.Routed() || r.Nested || p.target.instance.ID == p.cfg.Control.Self() {
+		return throttleTarget{}, false
+	}
+	return throttleTarget{instance: p.target.owner.Instance, service: r.Service, route: r.Route}, true
+}
+
+// checkThrottle refuses the request if its target refuses most requests. A request
+// for any server of a service counts once, however many servers are asked.
+func (p *pendingRequest) checkThrottle() *pollenlatch.Failure {
+	k, ok := p.throttleTarget()
+	if !ok || (k.instance == 0 && p.attempts > 0) {
+		return nil
+	}
+	admitted, retryAfter := p.throttle.admit(k, time.Now())
+	if admitted {
+		return nil
+	}
+	p.throttled.Inc()
+	if p.target.done != nil {
+		p.target.done(pollenlatch.OutcomeNotRun, pollenlatch.ReasonCancelled, 0)
+	}
+	f := notRunFailure(pollenlatch.ReasonOverloaded, http.StatusServiceUnavailable, "the target of the request refuses most requests")
+	f.RetryAfter = max(minThrottledRetryAfter, retryAfter)
+	return f
+}
+
+// recordThrottle records the result of an attempt; f is nil after a response.
+func (p *pendingRequest) recordThrottle(f *pollenlatch.Failure) {
+	if k, ok := p.throttleTarget(); ok {
+		p.throttle.record(k, f, time.Now())
+	}
+}
+
 // finalFailure returns the failure to report to the caller. If an earlier
 // attempt may have run, its outcome cannot be OutcomeNotRun.
 func (p *pendingRequest) finalFailure(f *pollenlatch.Failure) *pollenlatch.Failure {
