relay: limit the size of a response

The relay now ends the exchange after 64 MiB (MaxResponseBytes), closes the connection and returns a failure, so that the caller sees an incomplete response. Endless heads ended within their own limits before. Test over three framings; on the former code it does not compile, since the limit is new.

--- a/relay/body.go
+++ b/relay/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -20,6 +21,7 @@
 	resp     *fasthttp.Response
 	stream   io.Reader
 	reusable bool // the connection may be reused after the end of the body
+	read     int64
 
 	mu   sync.Mutex
 	err  error // returned by further reads
@@ -34,6 +36,11 @@
 		return 0, b.err
 	}
 	n, err := b.stream.Read(p)
+	b.read += int64(n)
+	if limit := b.x.relay.cfg.MaxResponseBytes; b.read > limit {
+		return 0, b.fail(failure(pollenlatch.OutcomeUnknown, pollenlatch.ReasonInvalidResponse, http.StatusBadGateway,
+			fmt.Sprintf("response body exceeds the limit of %d bytes", limit)))
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -46,10 +53,15 @@
 	if b.x.ctx.Err() != nil || isTimeout(err) {
 		f = b.x.toFailure(err)
 	}
+	return n, b.fail(f)
+}
+
+// fail ends the exchange with a failure, which further reads return too.
+func (b *responseBody) fail(f *pollenlatch.Failure) *pollenlatch.Failure {
 	f.Sent = true
 	b.err = f
 	b.finish(f)
-	return n, f
+	return f
 }
 
 // Close ends the exchange. Unless the complete body was read, it closes the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,9 @@
 	// Headers are the names of the headers that a platform's server uses. When nil,
 	// the server uses the endpoint protocol; see package local.
 	Headers *pollenlatch.Headers
+	// MaxResponseBytes is the maximum size of a response body; 0 is
+	// DefaultMaxResponseBytes.
+	MaxResponseBytes int64
 }
 
 // Relay implements pollenlatch.Exchanger. SetEndpoint sets the server.
@@ -35,8 +38,15 @@
 	pool pool
 }
 
+// DefaultMaxResponseBytes is as large as the largest request body. A server in trouble
+// may send bytes without end.
+const DefaultMaxResponseBytes = 64 << 20
+
 // New returns a relay without a server.
 func New(cfg Config) *Relay {
+	if cfg.MaxResponseBytes <= 0 {
+		cfg.MaxResponseBytes = DefaultMaxResponseBytes
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -403,3 +403,37 @@
 		})
 	}
 }
+
+// A server in trouble may send a body without end. Passed on until the deadline, it
+// fills the link and the memory of the instance, and the caller can't tell that the
+// response is not complete.
+func TestBodyWithoutEnd(t *testing.T) {
+	const limit = 1 << 20
+	chunk := strings.Repeat("x", 1<<10)
+	for _, tt := range []struct{ name, head, part string }{
+		{"until closed", "HTTP/1.1 200 OK\r\n\r\n", chunk},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + chunk + "\r\n"},
+		{"of a stated length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", chunk},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sent := 0
+				f := &fakeServer{handle: func(conn net.Conn, _ *http.Request) {
+					_, err := io.WriteString(conn, tt.head)
+					for err == nil {
+						_, err = io.WriteString(conn, tt.part)
+						sent += len(tt.part)
+					}
+				}}
+				relay := f.newRelay(t)
+				relay.cfg.MaxResponseBytes = limit
+				got, err := doExchange(relay, getRequest())
+				requireFailure(t, err, pollenlatch.OutcomeUnknown, pollenlatch.ReasonInvalidResponse, http.StatusBadGateway)
+				require.LessOrEqual(t, len(got), limit)
+				synctest.Wait()
+				require.Zero(t, f.open.Load(), "the connection is still open")
+				require.Less(t, sent, 2*limit)
+			})
+		})
+	}
+}
