link: a panic in a forwarded request ends that request only

Operators' report: one unexpected error took a whole process down. It could happen here: the goroutines that handle forwarded requests had no recovery, unlike those of net/http at the entry. The recovery of early requests moves to logs.HandleRecovered, which both use; it logs the request and the stack. Test: TestPanicInOneRequest.

--- a/front/pipeline.go
+++ b/front/pipeline.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pollenlatch"
+	"pollenlatch/logs"
 )
 
 const (
@@ -331,7 +332,7 @@
 	ctx, e.cancel = context.WithCancel(ctx)
 	go func() {
 		defer close(e.done)
-		e.resp, e.err = s.handleRecovered(ctx, req)
+		e.resp, e.err = logs.HandleRecovered(ctx, s.cfg.Handler, req)
 	}()
 	return e
 }
@@ -352,17 +353,6 @@
 	return ok && route.Idempotent
 }
 
-// handleRecovered handles a request outside of net/http's goroutine, whose recovery
-// from panics does not apply.
-func (s *Server) handleRecovered(ctx context.Context, req *pollenlatch.Request) (resp *pollenlatch.Response, err error) {
-	defer func() {
-		if v := recover(); v != nil {
-			resp, err = nil, panicFailure(v)
-		}
-	}()
-	return s.cfg.Handler.Handle(ctx, req)
-}
-
 // end is called once the response to the request has been written.
 func (e *earlyRequest) end() {
 	e.cancel()
--- a/front/router.go
+++ b/front/router.go
@@ -6,13 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cenkalti/backoff/v5"
-	"k8s.io/klog/v2"
 
 	"pollenlatch"
 	"pollenlatch/pick"
@@ -496,17 +494,6 @@
 	}
 }
 
-// panicFailure returns the failure of a request whose handler panicked.
-func panicFailure(v any) *pollenlatch.Failure {
-	klog.ErrorS(nil, "handler of a request panicked", "panic", v, "stack", string(debug.Stack()))
-	return &pollenlatch.Failure{
-		Outcome: pollenlatch.OutcomeUnknown,
-		Reason:  pollenlatch.ReasonConnectionLost,
-		Detail:  fmt.Sprintf("internal error: %v", v),
-		Status:  http.StatusBadGateway,
-	}
-}
-
 // asFailure returns err as a failure. Handlers should return no other errors;
 // after one that is not a failure the outcome is unknown.
 func asFailure(err error) *pollenlatch.Failure {
--- a/link/forward_test.go
+++ b/link/forward_test.go
@@ -64,6 +64,28 @@
 	}
 }
 
+// An unexpected error in one forwarded request must not end the process of the owner,
+// and with it all other requests.
+func TestPanicInOneRequest(t *testing.T) {
+	client, _, addr := pair(t, func(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+		if r.Key == "k" {
+			panic("unexpected")
+		}
+		return echo(ctx, r)
+	})
+	for range 2 {
+		_, err := client.Forward(t.Context(), addr, request(nil, 0))
+		requireFailure(t, err, pollenlatch.OutcomeUnknown, pollenlatch.ReasonConnectionLost)
+		other := request(strings.NewReader("x"), 1)
+		other.Key = "other"
+		resp, err := client.Forward(t.Context(), addr, other)
+		require.NoError(t, err)
+		b, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "x", string(b))
+	}
+}
+
 // Guards against bodies in which a chunk is lost, duplicated or reordered.
 func TestForwardBodies(t *testing.T) {
 	client, _, addr := pair(t, echo)
--- a/link/serve.go
+++ b/link/serve.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"pollenlatch"
+	"pollenlatch/logs"
 	"pollenlatch/pace"
 )
 
@@ -218,7 +219,7 @@
 func (st *inboundStream) handleRequest(in *inboundRequest) bool {
 	ctx, cancel := context.WithCancel(st.ctx)
 	defer cancel()
-	resp, err := st.session.node.cfg.RequestHandler.Handle(ctx, &in.request)
+	resp, err := logs.HandleRecovered(ctx, st.session.node.cfg.RequestHandler, &in.request)
 	if in.pipe != nil && err != nil {
 		_ = in.pipe.CloseWithError(errHandlerReturned)
 	}
