ctrl: do not cancel a hand-over from an endpoint that is leaving

A hand-over that takes longer than 10 s is cancelled, and the owner keeps the shard. The shard now waits for its last request, which ends at its deadline. Test: TestOverdueHandOverFromLeavingEndpoint.

--- a/ctrl/handover_test.go
+++ b/ctrl/handover_test.go
@@ -33,6 +33,26 @@
 	require.Greater(t, after.Fence, before.Fence, "a late release with the old fence would be accepted")
 }
 
+// An endpoint that is leaving must receive no new work, so a hand-over from it is not
+// cancelled when a request takes long.
+func TestOverdueHandOverFromLeavingEndpoint(t *testing.T) {
+	s := newSettledSim(t, 8, 3, 3)
+	s.maxRequestTime = time.Hour
+	n := s.nodes["d1"]
+	n.endpoint.Draining = true
+	n.step(Announced{Now: s.now, Endpoint: n.endpoint})
+	newWork := func() bool {
+		state, unfrozen := n.reducer.State(), false
+		state.EachOwned(n.access.Self, "", func(o pollenlatch.Owner) bool {
+			unfrozen = unfrozen || !o.Frozen()
+			return true
+		})
+		return unfrozen
+	}
+	require.True(t, s.advanceUntil(time.Second, func() bool { return !newWork() }), "no hand-over has started")
+	require.False(t, s.advanceUntil(2*maxHandOverTime, newWork), "the leaving endpoint owns a shard again")
+}
+
 // The first assignment of a large service would exceed the limits of the log if it
 // were one command.
 func TestFirstAssignmentIsBatched(t *testing.T) {
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -283,14 +283,16 @@
 )
 
 // overdueCancellations returns the commands that cancel hand-overs which take longer
-// than maxHandOverTime. The owner keeps the shard with a new fence.
+// than maxHandOverTime. The owner keeps the shard with a new fence. An owner whose
+// endpoint is leaving does not: it must receive no new work, so the shard waits until
+// its last request has ended.
 func (v *voter) overdueCancellations() []*pollenlatch.Command {
 	var items []pollenlatch.FreezeItem
 	for shard, ho := range v.activeHandOvers {
 		if v.now.Sub(ho.since) < maxHandOverTime {
 			continue
 		}
-		if o, ok := v.state.ShardOwner(shard); ok && o.Frozen() && o.Instance != 0 && o.Next != o.Instance {
+		if o, ok := v.state.ShardOwner(shard); ok && o.Frozen() && o.Instance != 0 && o.Next != o.Instance && !v.isDraining(o.Instance) {
 			items = append(items, pollenlatch.FreezeItem{Shard: shard, To: o.Instance, ExpectedFence: o.Fence})
 		}
 	}
@@ -302,6 +304,12 @@
 	return commands
 }
 
+// isDraining reports whether the endpoint of an instance is leaving.
+func (v *voter) isDraining(id pollenlatch.InstanceID) bool {
+	i, ok := v.state.Instance(id)
+	return ok && i.Endpoint != nil && i.Endpoint.Draining
+}
+
 // logMoves logs the planned moves, with one line for each service, source, target
 // and reason.
 func (v *voter) logMoves(moves []pollenlatch.Move) {
