stall, sock, front: log late processes and requests read after their callers left

- Package stall measures how late a timer fires: pollenlatch_stall_seconds, and a log line above 250 ms.
- The request line has left=true when the caller's connection was closed before the request was read; pollenlatch_front_left_unread_total counts them.
Package sock asks the socket without reading from it; the relay's check of idle connections uses it too.
- Presence in the root package carries the caller's connection in the context of its requests.
Nothing decides by it yet.

No decision changes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"pollenlatch/relay"
 	"pollenlatch/serve"
 	"pollenlatch/sketch"
+	"pollenlatch/stall"
 )
 
 // Config is the configuration of a Daemon. Addresses are host:port.
@@ -249,6 +250,7 @@
 
 // startTasks starts the background tasks, which run until ctx ends.
 func (d *Daemon) startTasks(ctx context.Context) {
+	go stall.New(d.metrics).Run(ctx)
 	if d.cfg.Platform != nil {
 		d.startPlatformTasks(ctx)
 		return
--- a/front/limit_listener.go
+++ b/front/limit_listener.go
@@ -4,6 +4,9 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
+
+	"pollenlatch/sock"
 )
 
 // hardLimitFactor is the hard limit of open connections as a multiple of
@@ -47,7 +50,7 @@
 		}
 		return nil, err
 	}
-	limited := &limitedConn{Conn: c, slots: l.slots}
+	limited := &limitedConn{Conn: c, slots: l.slots, raw: sock.Raw(c)}
 	if l.wrap != nil {
 		return l.wrap(limited), nil
 	}
@@ -69,8 +72,12 @@
 	net.Conn
 	slots chan struct{}
 	once  sync.Once
+	raw   syscall.RawConn // nil when there is no socket
 }
 
+// Left implements pollenlatch.Presence.
+func (c *limitedConn) Left() bool { return c.raw != nil && sock.PeerClosed(c.raw) }
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.once.Do(func() { <-c.slots })
--- a/front/log.go
+++ b/front/log.go
@@ -29,6 +29,9 @@
 	if rs.retryAfter > 0 {
 		pairs = append(pairs, "retryMs", rs.retryAfter.Milliseconds())
 	}
+	if rs.left {
+		pairs = append(pairs, "left", true)
+	}
 	if rs.detail != "" {
 		pairs = append(pairs, "detail", rs.detail)
 	}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -31,7 +31,8 @@
 
 // responseMetrics counts responses to callers and measures their times.
 type responseMetrics struct {
-	set *metrics.Set
+	set        *metrics.Set
+	leftUnread *metrics.Counter // requests whose callers had disconnected when they were read
 
 	mu        sync.RWMutex
 	services  map[string]bool
@@ -48,10 +49,11 @@
 func newResponseMetrics(set *metrics.Set, conns func() float64) *responseMetrics {
 	set.GetOrCreateGauge("pollenlatch_front_connections", conns)
 	return &responseMetrics{
-		set:       set,
-		services:  make(map[string]bool),
-		counters:  make(map[counterLabels]*metrics.Counter),
-		durations: make(map[string]*metrics.Histogram),
+		set:        set,
+		leftUnread: set.GetOrCreateCounter("pollenlatch_front_left_unread_total"),
+		services:   make(map[string]bool),
+		counters:   make(map[counterLabels]*metrics.Counter),
+		durations:  make(map[string]*metrics.Histogram),
 	}
 }
 
--- a/front/pipeline.go
+++ b/front/pipeline.go
@@ -65,17 +65,20 @@
 
 func newPipelineConn(c *limitedConn, s *Server) *pipelineConn {
 	p := &pipelineConn{limitedConn: c, server: s}
-	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.ctx, p.cancel = context.WithCancel(pollenlatch.WithPresence(context.Background(), c))
 	return p
 }
 
 // pipelineKey is the context key of the pipelineConn of a request.
 type pipelineKey struct{}
 
-// withPipeline is an http.Server.ConnContext.
-func withPipeline(ctx context.Context, c net.Conn) context.Context {
+// connContext is an http.Server.ConnContext.
+func connContext(ctx context.Context, c net.Conn) context.Context {
 	if p, ok := c.(*pipelineConn); ok {
-		return context.WithValue(ctx, pipelineKey{}, p)
+		ctx = context.WithValue(ctx, pipelineKey{}, p)
+	}
+	if p, ok := c.(pollenlatch.Presence); ok {
+		ctx = pollenlatch.WithPresence(ctx, p)
 	}
 	return ctx
 }
--- a/front/responder.go
+++ b/front/responder.go
@@ -34,6 +34,14 @@
 	status     int
 	detail     string
 	retryAfter time.Duration
+	left       bool // the caller had disconnected when the request was read
+}
+
+// recordLeft records whether the caller has disconnected already.
+func (rs *responder) recordLeft(ctx context.Context) {
+	if rs.left = pollenlatch.CallerLeft(ctx); rs.left {
+		rs.server.metrics.leftUnread.Inc()
+	}
 }
 
 // failureBody is the JSON body of a response to a request that failed.
--- a/front/server.go
+++ b/front/server.go
@@ -140,7 +140,7 @@
 		IdleTimeout:       s.cfg.IdleTimeout,
 		MaxHeaderBytes:    s.cfg.MaxHeaderBytes,
 		ConnState:         s.trackConn,
-		ConnContext:       withPipeline,
+		ConnContext:       connContext,
 		ErrorLog:          newErrorLog(),
 	}
 	return s, nil
@@ -271,6 +271,7 @@
 		return
 	}
 	rs.request = req
+	rs.recordLeft(r.Context())
 	rs.body, f = s.readBody(w, r, req)
 	if f != nil {
 		rs.rejectAndClose(f)
@@ -288,6 +289,7 @@
 func (s *Server) writeEarly(rs *responder, r *http.Request, e *earlyRequest) {
 	defer e.end()
 	rs.request, rs.start = e.request, e.arrival
+	rs.recordLeft(r.Context())
 	stop := context.AfterFunc(r.Context(), e.cancel)
 	defer stop()
 	<-e.done
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pollenlatch"
+	"pollenlatch/sock"
 )
 
 const (
@@ -61,10 +62,7 @@
 	if c.raw == nil {
 		return aliveByRead(c.Conn)
 	}
-	// The deadline of the last exchange may have passed, and would fail the read.
-	_ = c.SetReadDeadline(time.Time{})
-	open, _ := c.peek()
-	return open
+	return sock.Peek(c.raw) == sock.Idle
 }
 
 // idleLimit returns the idle time up to which a connection may be reused. It ends
@@ -83,32 +81,14 @@
 	if c.raw == nil {
 		return false
 	}
-	_, data := c.peek()
-	return data
-}
-
-// peek reports whether the connection is open without unread data, or has unread
-// data. Both are false for a closed connection.
-func (c *conn) peek() (open, data bool) {
-	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		data = err == nil && n > 0
-		return true
-	})
-	if err != nil {
-		return false, false
-	}
-	return open, data
+	return sock.Peek(c.raw) == sock.Readable
 }
 
 func newConn(nc net.Conn, host string, generation uint64) *conn {
-	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, maxHeadBytes), w: bufio.NewWriterSize(nil, writeBufferBytes), host: host, generation: generation}
-	if sc, ok := nc.(syscall.Conn); ok {
-		c.raw, _ = sc.SyscallConn()
+	return &conn{
+		Conn: nc, r: bufio.NewReaderSize(nc, maxHeadBytes), w: bufio.NewWriterSize(nil, writeBufferBytes),
+		host: host, generation: generation, raw: sock.Raw(nc),
 	}
-	return c
 }
 
 // aliveByRead is alive for connections without a file descriptor: reading must time
