front, serve, link, soak: requests of callers that have left, failing

An instance that is behind reads a request and the end of the caller's connection behind it in two goroutines, so it passes the request on before it knows that the caller has left.

Cancellations reached the owners within 0.9 ms in the median, so they are not what is late.

--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -448,3 +448,28 @@
 		h.requireIdle(t)
 	})
 }
+
+// departure is the presence of a caller that leaves when a test says so.
+type departure struct{ left atomic.Bool }
+
+func (d *departure) Left() bool { return d.left.Load() }
+
+// Guards against requests that reach the server although their callers have disconnected
+// while they waited for a slot.
+func TestCallerIsCheckedBeforeSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, caller := newHarness(), new(departure)
+		release, err := h.admitter.Admit(t.Context(), pollenlatch.AdmitRequest{})
+		require.NoError(t, err)
+		time.AfterFunc(100*time.Millisecond, func() {
+			caller.left.Store(true)
+			release()
+		})
+		_, err = h.server.Handle(pollenlatch.WithPresence(t.Context(), caller), newRequest())
+		var f *pollenlatch.Failure
+		require.ErrorAs(t, err, &f)
+		require.Equal(t, []any{pollenlatch.OutcomeNotRun, pollenlatch.ReasonCancelled}, []any{f.Outcome, f.Reason})
+		require.Zero(t, h.exchanger.runs)
+		h.requireIdle(t)
+	})
+}
