front, serve, link: start no work for a caller that has left

What callers saw: nothing; they had left. Servers worked for them (GONE), and slots and retries were spent that others waited for.

Cause: a request's context ends only once a goroutine has read the end of the caller's connection. An instance that is behind finds a request and that end in its input together, and the goroutine that has read the request runs on until it has been sent. The class: a decision to start work that relies on a notification still waiting to be processed.

Change: before work is started, the connection itself is asked (pollenlatch.CallerLeft): by the router before each attempt, so after each wait and before each retry; by link after the session and the stream were opened; by serve right before the first byte is written to the server. It sees the end also behind bytes that were not read, such as a long body. pollenlatch_front_abandoned_total counts the requests that were not sent.

--- a/front/router.go
+++ b/front/router.go
@@ -51,6 +51,7 @@
 	retriesRefused *metrics.Counter // retries that the budget did not allow
 	waits          *metrics.Counter // waits for an owner or endpoint
 	throttled      *metrics.Counter // requests refused because their target refuses most of them
+	abandoned      *metrics.Counter // requests not sent because their callers had disconnected
 	throttle       throttle
 	leaving        leavingServers
 }
@@ -75,6 +76,7 @@
 		retriesRefused: cfg.Metrics.GetOrCreateCounter("pollenlatch_front_retries_refused_total"),
 		waits:          cfg.Metrics.GetOrCreateCounter("pollenlatch_front_waits_total"),
 		throttled:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_throttled_total"),
+		abandoned:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_abandoned_total"),
 	}
 }
 
@@ -213,9 +215,13 @@
 }
 
 // findTarget chooses the target of the next attempt. While there is none, it
-// waits for one until the deadline.
+// waits for one until the deadline. It fails when the caller has disconnected.
 func (p *pendingRequest) findTarget(ctx context.Context) *pollenlatch.Failure {
 	for {
+		if pollenlatch.CallerLeft(ctx) {
+			p.abandoned.Inc()
+			return notRunFailure(pollenlatch.ReasonCancelled, http.StatusServiceUnavailable, "caller disconnected")
+		}
 		changed := p.cfg.Control.Changed()
 		if err := p.cfg.Control.Serving(); err != nil {
 			var f *pollenlatch.Failure
@@ -237,10 +243,7 @@
 		f = notRunFailure(reason, http.StatusServiceUnavailable, "no server became available before the deadline")
 		f.RetryAfter = defaultRetryAfter
 		p.waits.Inc()
-		if !waitForChange(ctx, changed, time.Until(p.request.Deadline)) {
-			if err := ctx.Err(); err != nil && time.Now().Before(p.request.Deadline) {
-				return notRunFailure(pollenlatch.ReasonCancelled, http.StatusServiceUnavailable, "caller disconnected")
-			}
+		if !waitForChange(ctx, changed, time.Until(p.request.Deadline)) && ctx.Err() == nil {
 			return f
 		}
 	}
--- a/link/forward.go
+++ b/link/forward.go
@@ -52,6 +52,10 @@
 		n.releaseSession(s, nil)
 		return nil, unreachable("daemon %s: stream could not be opened: %v", addr, err)
 	}
+	if pollenlatch.CallerLeft(ctx) { // while the session or the stream was opened
+		n.releaseSession(s, st)
+		return nil, contextEnded(context.Canceled, false)
+	}
 	x := &exchange{session: s, stream: st, head: &r.RequestHead, ctx: ctx, timersSet: make(chan struct{})}
 	x.deadlineTimer = time.AfterFunc(remaining+deadlineMargin, x.expire)
 	x.stopWatch = context.AfterFunc(ctx, x.abort)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -200,6 +200,9 @@
 	maxRun := s.maxRun(service)
 	check := func() error {
 		maxRun = max(maxRun, s.maxRun(service))
+		if pollenlatch.CallerLeft(ctx) {
+			return refuse(pollenlatch.ReasonCancelled, statusClientClosedRequest, "the caller disconnected")
+		}
 		return permit.Check()
 	}
 	tracked := false // released with the response body
