relay: take no repeated refusal for one of a later request

Operators reported: a faulty server wrote an earlier refusal once more on a kept connection; clients were told "not run" for requests that a server was running, or these ran at a second server.

It could happen here. TestRepeatedRefusal failed for the same request sent again on the connection (the ID is the same), for refusals without an ID, and for the endpoint protocol, which has none. A refusal with the ID of another request was skipped already.

A connection remembers the IDs of the requests refused on it and is not used for them again, and a refusal without an ID is the last response on its connection. So no response that is taken for a refusal can be a copy.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -52,7 +52,7 @@
 }
 
 func (x *exchange) run() (*pollenlatch.Response, error) {
-	c, err := x.relay.pool.get(x.ctx, x.deadline)
+	c, err := x.relay.pool.get(x.ctx, x.deadline, x.r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -243,6 +243,7 @@
 	x.observe(&resp.Header)
 	if f := x.refusal(resp.StatusCode(), &resp.Header); f != nil {
 		x.rejection = f
+		b.reusable = b.reusable && x.conn.recordRefusal(x.responseID(&resp.Header))
 		_, _ = io.CopyN(io.Discard, b, maxRefusalBytes+1)
 		_ = b.Close()
 		return nil, f
--- a/relay/platform.go
+++ b/relay/platform.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// responseID returns the ID of the request that a response belongs to, or "" if it does
+// not say.
+func (x *exchange) responseID(h *fasthttp.ResponseHeader) string {
+	if names := x.relay.cfg.Headers; names != nil {
+		return string(h.Peek(names.RequestID))
+	}
+	return ""
+}
+
 // validate returns an error when a response must not be forwarded: it belongs to
 // another request, it is a success without the request ID or the server's signature,
 // or it is encoded although no encoding was requested.
@@ -75,7 +84,7 @@
 		return nil
 	}
 	x.conn.recordKeepAlive(&resp.Header)
-	id := string(resp.Header.Peek(names.RequestID))
+	id := x.responseID(&resp.Header)
 	success := resp.StatusCode()/100 == 2
 	switch {
 	case id != "" && id != x.r.ID:
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -49,9 +49,27 @@
 	reused            bool
 	idleSince         time.Time
 	incarnation       pollenlatch.Incarnation
-	serverID          string        // the server's own ID when the connection was opened
-	service           string        // and its service
-	serverIdleTimeout time.Duration // after which the server closes it; 0 is unknown
+	serverID          string          // the server's own ID when the connection was opened
+	service           string          // and its service
+	serverIdleTimeout time.Duration   // after which the server closes it; 0 is unknown
+	refused           map[string]bool // IDs of the requests that the server refused on it
+}
+
+// maxRefusedIDs limits the refusals that are remembered for a connection.
+const maxRefusedIDs = 64
+
+// recordRefusal records that the server refused the request with an ID, and reports
+// whether the connection may be reused. A server in trouble may send a refusal twice,
+// which must not be taken for one of a later request.
+func (c *conn) recordRefusal(id string) bool {
+	if id == "" || len(c.refused) >= maxRefusedIDs {
+		return false
+	}
+	if c.refused == nil {
+		c.refused = make(map[string]bool)
+	}
+	c.refused[id] = true
+	return true
 }
 
 // alive reports whether an idle connection is open and has no unread data.
@@ -163,9 +181,9 @@
 	p.waiters = p.waiters[1:]
 }
 
-// get returns a connection that the caller must pass to put or discard. It waits
-// until the deadline.
-func (p *pool) get(ctx context.Context, deadline time.Time) (*conn, error) {
+// get returns a connection for the request with an ID, which the caller must pass to
+// put or discard. It waits until the deadline.
+func (p *pool) get(ctx context.Context, deadline time.Time, id string) (*conn, error) {
 	c, wake, err := p.reserve()
 	if wake != nil {
 		c, err = p.wait(ctx, deadline, wake)
@@ -174,7 +192,7 @@
 		return nil, err
 	}
 	for ; c != nil; c = p.popIdle() {
-		if time.Since(c.idleSince) < c.idleLimit() && c.alive() {
+		if time.Since(c.idleSince) < c.idleLimit() && !c.refused[id] && c.alive() {
 			c.reused = true
 			return c, nil
 		}
