platform, local: refuse heartbeats with numbers or addresses out of range

Operators reported: another writer left one odd entry among those of the servers, very deeply nested, with a number too large or a port out of range, and the machines that read the list ended, or stopped following it.

A process does not end here: nesting and numbers beyond 64 bits were refused already (TestDecodeHeartbeatRejectsOddEntries has both). With a port out of range an entry took the place of the local server, whose own heartbeats were then refused as those of a server that had ended; with a seq or a fence near 2^64 no later heartbeat or fence would have been higher; 2^31 slots gave a limit of 0 connections.

The endpoint protocol shares the checks of address and slots.

--- a/check.go
+++ b/check.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"reflect"
+	"strconv"
 )
 
 // Errors of malformed messages.
@@ -12,6 +14,7 @@
 	ErrNoName      = errors.New("name is empty")
 	ErrNoShard     = errors.New("service of a shard is empty")
 	ErrBadChunk    = errors.New("chunk lies outside its snapshot")
+	ErrBadAddr     = errors.New("address is not host:port with a port from 1 to 65535")
 	ErrBadCommands = errors.New("delta must have plain commands, or compressed ones with their count")
 )
 
@@ -135,3 +138,16 @@
 	}
 	return nil
 }
+
+// CheckAddr reports whether a TCP address has a host, and a port from 1 to 65535. The
+// error wraps ErrBadAddr.
+func CheckAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || host == "" {
+		return fmt.Errorf("%w: %q", ErrBadAddr, addr)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("%w: %q", ErrBadAddr, addr)
+	}
+	return nil
+}
--- a/local/message.go
+++ b/local/message.go
@@ -6,7 +6,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/url"
 	"strconv"
 	"strings"
@@ -45,10 +44,9 @@
 
 // Errors of malformed announcements and headers.
 var (
-	ErrInvalidAddr        = errors.New("addr is not host:port")
 	ErrNoService          = errors.New("service is empty")
 	ErrInvalidIncarnation = errors.New("incarnation must lie between 1 and 2^53-1")
-	ErrInvalidSlots       = errors.New("slots and conns must be at least 1")
+	ErrInvalidSlots       = errors.New("slots and conns must be at least 1, and slots at most 65536")
 	ErrInvalidRange       = errors.New("malformed " + HeaderRange)
 )
 
@@ -127,14 +125,13 @@
 	if e.Service == "" {
 		return ErrNoService
 	}
-	host, port, err := net.SplitHostPort(e.Addr)
-	if err != nil || host == "" || port == "" {
-		return fmt.Errorf("%w: %q", ErrInvalidAddr, e.Addr)
+	if err := pollenlatch.CheckAddr(e.Addr); err != nil {
+		return err
 	}
 	if e.Incarnation == 0 || e.Incarnation > MaxIncarnation {
 		return ErrInvalidIncarnation
 	}
-	if e.Slots == 0 || e.MaxConns == 0 {
+	if e.Slots == 0 || e.Slots > pollenlatch.MaxSlots || e.MaxConns == 0 {
 		return ErrInvalidSlots
 	}
 	return nil
--- a/state.go
+++ b/state.go
@@ -22,6 +22,9 @@
 	Limit float64 `protobuf:"fixed64,12,opt,name=limit" json:"limit,omitempty"`
 }
 
+// MaxSlots is the maximum number of slots that a server may announce.
+const MaxSlots = 1 << 16
+
 // DrainGrace is how long a draining server still receives requests for keys that
 // have not moved yet. It must receive none after 2 s; the difference allows for
 // requests on their way.
