--- a/crash/sim_test.go
+++ b/crash/sim_test.go
@@ -43,9 +43,9 @@
 	instances []*instance
 	committed *state.State
 	history   []commit
-	pending   []commit // reports on their way to the log
-	crashedAt []time.Time
-	late      int // times that the crashing request reached a server from an instance in touch after notice
+	pending   []commit               // reports on their way to the log
+	crashedAt map[string][]time.Time // by URI of the request
+	late      map[string]int         // times that a crashing request reached a server from an instance in touch after notice, by URI
 	served    int
 	refused   int
 }
@@ -58,7 +58,10 @@
 
 func newSimulation(t *testing.T, instances int) *simulation {
 	t.Helper()
-	s := &simulation{t: t, rng: rand.New(rand.NewPCG(uint64(instances), 25)), now: time.Unix(1000, 0), committed: new(state.State)}
+	s := &simulation{
+		t: t, rng: rand.New(rand.NewPCG(uint64(instances), 25)), now: time.Unix(1000, 0), committed: new(state.State),
+		crashedAt: make(map[string][]time.Time), late: make(map[string]int),
+	}
 	for n := range instances {
 		s.instances = append(s.instances, &instance{
 			view: s.committed, server: pollenlatch.Incarnation(n + 1), lag: time.Duration(s.rng.Int64N(int64(maxViewLag))),
@@ -131,10 +134,10 @@
 			return
 		}
 		inTouch := s.now.Sub(origin.cutUntil) > notice
-		if len(s.crashedAt) >= pollenlatch.MaxStrikes && s.now.Sub(s.crashedAt[pollenlatch.MaxStrikes-1]) > notice && inTouch {
-			s.late++
+		if at := s.crashedAt[uri]; len(at) >= pollenlatch.MaxStrikes && s.now.Sub(at[pollenlatch.MaxStrikes-1]) > notice && inTouch {
+			s.late[uri]++
 		}
-		s.crashedAt = append(s.crashedAt, s.now)
+		s.crashedAt[uri] = append(s.crashedAt[uri], s.now)
 		s.crashServer(i, run)
 	}
 }
@@ -176,10 +179,39 @@
 				s.instances[s.rng.IntN(n)].cutUntil = s.now.Add(time.Duration(s.rng.Int64N(int64(4 * time.Second))))
 			}
 		}
-		require.LessOrEqual(t, s.late, 3, "%d instances", n)
-		require.GreaterOrEqual(t, len(s.crashedAt), pollenlatch.MaxStrikes)
+		require.LessOrEqual(t, s.late["/crash"], 3, "%d instances", n)
+		require.GreaterOrEqual(t, len(s.crashedAt["/crash"]), pollenlatch.MaxStrikes)
 		require.Zero(t, s.refused, "%d instances: other requests are refused", n)
 		require.Greater(t, s.served, 4000, "%d instances", n)
-		t.Logf("%d instances: %d servers crashed, %d late", n, len(s.crashedAt), s.late)
+		t.Logf("%d instances: %d servers crashed, %d late", n, len(s.crashedAt["/crash"]), s.late["/crash"])
+	}
+}
+
+// Guards against a quarantine that holds for one crashing request only: when a share of a
+// class crashes servers, from any moment on, each request may do so a few times.
+func TestCrashingShareOfAClass(t *testing.T) {
+	t.Parallel()
+	const class = 200 // requests that come again
+	for _, tt := range []struct {
+		instances, startMillis int
+		share                  float64
+	}{
+		{17, warmUpMillis, 0.03}, {17, 3 * warmUpMillis, 0.1}, {200, warmUpMillis, 0.03}, {200, 2 * warmUpMillis, 0.01},
+	} {
+		s := newSimulation(t, tt.instances)
+		for ms := 0; ms < tt.startMillis+20_000; ms += 10 {
+			s.now = s.now.Add(10 * time.Millisecond)
+			s.propagate()
+			for range 1 + tt.instances/17 {
+				k := s.rng.IntN(class)
+				crashes := ms >= tt.startMillis && float64(k) < tt.share*class
+				s.send(s.instances[s.rng.IntN(tt.instances)], fmt.Sprint("/class/", k, "/", crashes), crashes)
+			}
+		}
+		require.NotEmpty(t, s.crashedAt, "%+v", tt)
+		for uri, n := range s.late {
+			require.LessOrEqual(t, n, 3, "%+v: %s", tt, uri)
+		}
+		t.Logf("%+v: %d requests crashed servers, %d of others were served, %d refused", tt, len(s.crashedAt), s.served, s.refused)
 	}
 }
