front: simulate departed callers on one goroutine

It now runs events in the order of a simulated time, without goroutines, with as many requests and the same check, and is exact.

--- a/front/presence_test.go
+++ b/front/presence_test.go
@@ -1,13 +1,13 @@
 package front
 
 import (
+	"container/heap"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -119,145 +119,164 @@
 // requests nor notices that callers disconnect.
 type simInstance struct {
 	*fakeControl
-	id         pollenlatch.InstanceID
-	router     *Router
-	stalledTil time.Time // guarded by the simulation
+	id           pollenlatch.InstanceID
+	router       *Router
+	stalledUntil time.Duration // since the start of the simulation
 }
 
 func (i *simInstance) Self() pollenlatch.InstanceID { return i.id }
 
 // simCaller is the caller of one request.
-type simCaller struct{ leavesAt time.Time }
+type simCaller struct {
+	sim      *callerSim
+	leavesAt time.Duration
+	// ownerCtx is the context of the request at its owner. It ends when the
+	// cancellation has arrived there.
+	ownerCtx context.Context
+}
+
+func (c *simCaller) Left() bool { return c.sim.now >= c.leavesAt }
 
-func (c simCaller) Left() bool { return !time.Now().Before(c.leavesAt) }
+// event is an action of the simulation at a time.
+type event struct {
+	at time.Duration
+	do func()
+}
 
-// callerSim sends requests over many instances whose callers disconnect.
+// callerSim sends requests over many instances whose callers disconnect. It runs on one
+// goroutine with a clock of its own.
 type callerSim struct {
-	wg        sync.WaitGroup // of the requests
-	mu        sync.Mutex
 	rng       *rand.Rand
+	now       time.Duration // since the start
+	events    []event       // a binary heap
 	instances []*simInstance
-	leavesAt  map[string]time.Time // by request ID
+	total     int
 	runs      int
 	late      int // runs that began more than maxStartAfterLeaving after the caller had left
 }
 
+// Len, Less, Swap, Push and Pop implement heap.Interface for the events.
+func (s *callerSim) Len() int           { return len(s.events) }
+func (s *callerSim) Less(a, b int) bool { return s.events[a].at < s.events[b].at }
+func (s *callerSim) Swap(a, b int)      { s.events[a], s.events[b] = s.events[b], s.events[a] }
+func (s *callerSim) Push(x any)         { s.events = append(s.events, x.(event)) }
+func (s *callerSim) Pop() any {
+	last := s.events[len(s.events)-1]
+	s.events = s.events[:len(s.events)-1]
+	return last
+}
+
+func (s *callerSim) at(t time.Duration, do func()) { heap.Push(s, event{max(t, s.now), do}) }
+
+// run runs the events in order of their time.
+func (s *callerSim) run() {
+	for len(s.events) > 0 {
+		e := heap.Pop(s).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+func (s *callerSim) random(d time.Duration) time.Duration {
+	return time.Duration(s.rng.Int64N(int64(d)))
+}
+
 func newCallerSim(instances int) *callerSim {
-	s := &callerSim{rng: rand.New(rand.NewPCG(uint64(instances), 28)), leavesAt: make(map[string]time.Time)}
+	s := &callerSim{rng: rand.New(rand.NewPCG(uint64(instances), 28))}
 	view := &fakeView{version: 1}
 	for n := range instances {
 		i := &simInstance{id: pollenlatch.InstanceID(n + 1), fakeControl: &fakeControl{view: view, changed: make(chan struct{})}}
 		view.endpoints = append(view.endpoints, pollenlatch.Instance{
 			ID: i.id, Addr: fmt.Sprint(n), DC: "nadia", Lease: 1, Endpoint: &pollenlatch.Endpoint{Ready: true},
 		})
-		i.router = NewRouter(RouterConfig{Control: i, Local: pollenlatch.HandlerFunc(s.run), Forwarder: s, Picker: s})
+		i.router = NewRouter(RouterConfig{Control: i, Local: pollenlatch.HandlerFunc(s.enqueue), Forwarder: s, Picker: s})
 		s.instances = append(s.instances, i)
 	}
 	return s
 }
 
-func (s *callerSim) random(d time.Duration) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Duration(s.rng.Int64N(int64(d)))
-}
-
-// awaitRunning waits until an instance is no longer stalled.
-func (s *callerSim) awaitRunning(i *simInstance) {
-	s.mu.Lock()
-	d := time.Until(i.stalledTil)
-	s.mu.Unlock()
-	<-time.After(d)
-}
-
-// stall stalls an instance that runs for a random time.
-func (s *callerSim) stall(i *simInstance) {
-	d := s.random(maxStall)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if time.Now().After(i.stalledTil) {
-		i.stalledTil = time.Now().Add(d)
-	}
-}
-
 // Pick implements pollenlatch.Picker.
 func (s *callerSim) Pick(c []pollenlatch.Instance, _ string, _ pollenlatch.Set[pollenlatch.InstanceID]) (pollenlatch.Instance, func(pollenlatch.Outcome, pollenlatch.Reason, time.Duration), bool) {
-	return c[s.random(time.Duration(len(c)))], func(pollenlatch.Outcome, pollenlatch.Reason, time.Duration) {}, true
+	return c[s.rng.IntN(len(c))], func(pollenlatch.Outcome, pollenlatch.Reason, time.Duration) {}, true
 }
 
-// Forward implements pollenlatch.Forwarder. The owner learns of a cancellation later.
+// Forward implements pollenlatch.Forwarder.
 func (s *callerSim) Forward(ctx context.Context, _ string, r *pollenlatch.Request) (*pollenlatch.Response, error) {
-	<-time.After(linkDelay)
-	ownerCtx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	defer context.AfterFunc(ctx, func() { time.AfterFunc(linkDelay, cancel) })()
-	return s.run(ownerCtx, r)
+	return s.enqueue(ctx, r)
 }
 
-// run is the owner of a request: it waits for a slot and begins the request unless the
-// caller has left.
-func (s *callerSim) run(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
-	<-time.After(s.random(maxQueueTime))
-	if pollenlatch.CallerLeft(ctx) {
-		return nil, notRunFailure(pollenlatch.ReasonCancelled, 499, "caller disconnected")
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runs++
-	if time.Since(s.leavesAt[r.ID]) > maxStartAfterLeaving {
-		s.late++
-	}
+// callerKey is the context key of a simCaller.
+type callerKey struct{}
+
+// enqueue is the owner of a request: after a wait for a slot it begins the request unless
+// the caller has left.
+func (s *callerSim) enqueue(ctx context.Context, _ *pollenlatch.Request) (*pollenlatch.Response, error) {
+	c := ctx.Value(callerKey{}).(*simCaller)
+	s.at(s.now+linkDelay+s.random(maxQueueTime), func() {
+		if pollenlatch.CallerLeft(c.ownerCtx) {
+			return
+		}
+		s.runs++
+		if s.now-c.leavesAt > maxStartAfterLeaving {
+			s.late++
+		}
+	})
 	return okResponse(""), nil
 }
 
-// send sends a request to an instance, and disconnects after a while.
-func (s *callerSim) send(i *simInstance, id string) {
-	caller := simCaller{time.Now().Add(s.random(time.Second))}
-	s.mu.Lock()
-	s.leavesAt[id] = caller.leavesAt
-	s.mu.Unlock()
-	s.awaitRunning(i)
-	ctx, cancel := context.WithCancel(pollenlatch.WithPresence(context.Background(), caller))
-	defer cancel()
-	s.wg.Go(func() {
-		select {
-		case <-time.After(time.Until(caller.leavesAt)):
-			s.awaitRunning(i)
-			<-time.After(s.random(maxNoticeTime))
-			cancel()
-		case <-ctx.Done():
+// send sends a request to an instance, whose caller disconnects after a while.
+func (s *callerSim) send(t *testing.T, i *simInstance) {
+	s.total++
+	c := &simCaller{sim: s, leavesAt: s.now + s.random(time.Second)}
+	ctx, cancel := context.WithCancel(context.WithValue(pollenlatch.WithPresence(t.Context(), c), callerKey{}, c))
+	var cancelOwner func()
+	c.ownerCtx, cancelOwner = context.WithCancel(t.Context())
+	s.whenRunning(i, func() {
+		r := newPost("catalogue", "")
+		r.Deadline = time.Now().Add(time.Hour)
+		if resp, err := i.router.Handle(ctx, r); err == nil {
+			_ = resp.Body.Close()
 		}
 	})
-	r := newPost("catalogue", "")
-	r.ID, r.Deadline = id, time.Now().Add(3*time.Second)
-	if resp, err := i.router.Handle(ctx, r); err == nil {
-		_ = resp.Body.Close()
+	s.at(c.leavesAt, func() {
+		s.whenRunning(i, func() {
+			s.at(s.now+s.random(maxNoticeTime), func() {
+				cancel()
+				s.at(s.now+linkDelay, cancelOwner)
+			})
+		})
+	})
+}
+
+// whenRunning calls f once an instance is not stalled.
+func (s *callerSim) whenRunning(i *simInstance, f func()) {
+	if s.now < i.stalledUntil {
+		s.at(i.stalledUntil, func() { s.whenRunning(i, f) })
+		return
 	}
+	f()
 }
 
 // Requests of callers that have disconnected must not be started, at any number of
 // instances, while some of them are stalled.
 func TestDepartedCallersOverManyInstances(t *testing.T) {
 	for _, n := range []int{3, 17, 200} {
-		synctest.Test(t, func(t *testing.T) {
-			s := newCallerSim(n)
-			total := 0
-			for ms := 0; ms < 20_000; ms += 10 {
-				<-time.After(10 * time.Millisecond)
-				if ms%(3000/n+1) < 10 {
-					s.stall(s.instances[s.random(time.Duration(n))])
+		s := newCallerSim(n)
+		for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
+			s.at(at, func() {
+				if s.rng.IntN(1000) < 10+n {
+					i := s.instances[s.rng.IntN(n)]
+					i.stalledUntil = max(i.stalledUntil, s.now+s.random(maxStall))
 				}
 				for range 1 + n/17 {
-					total++
-					i, id := s.instances[s.random(time.Duration(n))], fmt.Sprint(total)
-					s.wg.Go(func() { s.send(i, id) })
+					s.send(t, s.instances[s.rng.IntN(n)])
 				}
-			}
-			s.wg.Wait()
-			require.Zero(t, s.late, "%d instances: requests were started late", n)
-			require.Greater(t, 4*s.runs, total, "%d instances: too few requests ran", n)
-			t.Logf("%d instances: %d of %d requests ran", n, s.runs, total)
-		})
+			})
+		}
+		s.run()
+		require.Zero(t, s.late, "%d instances: requests were started late", n)
+		require.Greater(t, 4*s.runs, s.total, "%d instances: too few requests ran", n)
+		t.Logf("%d instances: %d of %d requests ran", n, s.runs, s.total)
 	}
 }
 
