--- a/front/presence_test.go
+++ b/front/presence_test.go
@@ -146,6 +146,7 @@
 // callerSim sends requests over many instances whose callers disconnect. It runs on one
 // goroutine with a clock of its own.
 type callerSim struct {
+	ctx       context.Context
 	rng       *rand.Rand
 	now       time.Duration // since the start
 	events    []event       // a binary heap
@@ -181,8 +182,8 @@
 	return time.Duration(s.rng.Int64N(int64(d)))
 }
 
-func newCallerSim(instances int) *callerSim {
-	s := &callerSim{rng: rand.New(rand.NewPCG(uint64(instances), 28))}
+func newCallerSim(ctx context.Context, instances int) *callerSim {
+	s := &callerSim{ctx: ctx, rng: rand.New(rand.NewPCG(uint64(instances), 28))}
 	view := &fakeView{version: 1}
 	for n := range instances {
 		i := &simInstance{id: pollenlatch.InstanceID(n + 1), fakeControl: &fakeControl{view: view, changed: make(chan struct{})}}
@@ -225,12 +226,12 @@
 }
 
 // send sends a request to an instance, whose caller disconnects after a while.
-func (s *callerSim) send(t *testing.T, i *simInstance) {
+func (s *callerSim) send(i *simInstance) {
 	s.total++
 	c := &simCaller{sim: s, leavesAt: s.now + s.random(time.Second)}
-	ctx, cancel := context.WithCancel(context.WithValue(pollenlatch.WithPresence(t.Context(), c), callerKey{}, c))
+	ctx, cancel := context.WithCancel(context.WithValue(pollenlatch.WithPresence(s.ctx, c), callerKey{}, c))
 	var cancelOwner func()
-	c.ownerCtx, cancelOwner = context.WithCancel(t.Context())
+	c.ownerCtx, cancelOwner = context.WithCancel(s.ctx)
 	s.whenRunning(i, func() {
 		r := newPost("catalogue", "")
 		r.Deadline = time.Now().Add(time.Hour)
@@ -261,7 +262,7 @@
 // instances, while some of them are stalled.
 func TestDepartedCallersOverManyInstances(t *testing.T) {
 	for _, n := range []int{3, 17, 200} {
-		s := newCallerSim(n)
+		s := newCallerSim(t.Context(), n)
 		for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
 			s.at(at, func() {
 				if s.rng.IntN(1000) < 10+n {
@@ -269,7 +270,7 @@
 					i.stalledUntil = max(i.stalledUntil, s.now+s.random(maxStall))
 				}
 				for range 1 + n/17 {
-					s.send(t, s.instances[s.rng.IntN(n)])
+					s.send(s.instances[s.rng.IntN(n)])
 				}
 			})
 		}
