--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -86,10 +86,10 @@
 	m := lot[1]
 	if trouble {
 		body, _ := json.Marshal(map[string]any{
-			"service": "zumu07x", "address": m.addr(portApp + 100), "zone": m.zone, "version": "v1", "slots": 4, "state": "ready", "cold_left_ms": 0,
+			"service": "zumu07x", "address": m.addr(portApp + 100), names["place"]: m.place, "version": "v1", "slots": 4, "state": "ready", names["cold_ms"]: 0,
 			"seq": 1, "born": time.Now().UnixMilli(), "holds": []any{}, "freed": []any{},
 		})
-		status, answer := call(m.addr(portControl), "instances.heartbeat&of=i-other", body)
+		status, answer := call(m.addr(portControl), names["beat"]+"&of=i-other", body)
 		d.log("another writer: heartbeat %s to %s got %d %s", body, m.name, status, answer)
 	}
 	time.Sleep(12 * time.Second)
@@ -140,7 +140,7 @@
 			fatal(err)
 		}
 		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			if status, answer := call(m.addr(portControl), "instances.heartbeat&of="+old.id, body); status != 0 {
+			if status, answer := call(m.addr(portControl), names["beat"]+"&of="+old.id, body); status != 0 {
 				d.log("the heartbeat of server %s that was held up arrives at %s: %d %s", old.id, m.name, status, answer)
 				break
 			}
@@ -207,7 +207,7 @@
 		leaving.mu.Unlock()
 		leaving.beatNow <- struct{}{}
 		time.Sleep(drainTime + 500*time.Millisecond)
-		status, _ := leaving.call("instances.deregister", map[string]any{"born": leaving.born})
+		status, _ := leaving.call(names["leave"], map[string]any{"born": leaving.born})
 		d.log("server %s deregisters: %d; it ends", leaving.id, status)
 		leaving.crash()
 	}
@@ -250,7 +250,7 @@
 	leaving.mu.Lock()
 	leaving.silent, leaving.leaving = true, true
 	leaving.mu.Unlock()
-	status, answer := leaving.call("instances.deregister", map[string]any{"born": leaving.born})
+	status, answer := leaving.call(names["leave"], map[string]any{"born": leaving.born})
 	d.log("server %s deregisters: %d %s", leaving.id, status, answer)
 	if status == 200 {
 		leaving.mu.Lock()
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -35,9 +35,9 @@
 	r.GetBody = nil
 	r.Host = host
 	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(names["deadline"], fmt.Sprint(deadline.Milliseconds()))
 	if key >= 0 {
-		r.Header.Set("X-Shard-Key", fmt.Sprint(key))
+		r.Header.Set(names["key"], fmt.Sprint(key))
 	}
 	d.log("client at %s: %s sent: %s %s key %d", m.name, id, method, path, key)
 	resp, err := clients.Do(r)
@@ -49,7 +49,7 @@
 		if a.err == nil {
 			a.status = resp.StatusCode
 		}
-		a.signed = resp.Header.Get("X-Response-Signature") != ""
+		a.signed = resp.Header.Get(names["signature"]) != ""
 		d.log("client at %s: %s answered %d signed=%v err=%v %.160s", m.name, id, resp.StatusCode, a.signed, a.err, b)
 	} else {
 		d.log("client at %s: %s got no answer: %v", m.name, id, err)
--- a/review/standin/deploy.go
+++ b/review/standin/deploy.go
@@ -33,10 +33,10 @@
 
 // machine is a machine of the platform with one process of the project.
 type machine struct {
-	d             *deployment
-	name, ip      string
-	zone, service string
-	startedBefore bool
+	d              *deployment
+	name, ip       string
+	place, service string
+	startedBefore  bool
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -97,13 +97,13 @@
 
 func (d *deployment) addCore(n int) {
 	for i := range n {
-		d.cores = append(d.cores, &machine{d: d, name: fmt.Sprintf("core-%d", i), ip: freeIP(), zone: fmt.Sprintf("z%d", i%3)})
+		d.cores = append(d.cores, &machine{d: d, name: fmt.Sprintf("core-%d", i), ip: freeIP(), place: fmt.Sprintf("z%d", i%3)})
 	}
 }
 
 func (d *deployment) addSides(service string, n int) (out []*machine) {
 	for i := range n {
-		out = append(out, &machine{d: d, name: fmt.Sprintf("%s-%d", service, i), ip: freeIP(), zone: fmt.Sprintf("z%d", i%3), service: service})
+		out = append(out, &machine{d: d, name: fmt.Sprintf("%s-%d", service, i), ip: freeIP(), place: fmt.Sprintf("z%d", i%3), service: service})
 	}
 	d.sides = append(d.sides, out...)
 	return out
@@ -179,7 +179,7 @@
 var operatorClient = http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func call(addr, name string, body []byte) (int, []byte) {
-	resp, err := operatorClient.Post("http://"+addr+"/rpc?call="+name, "application/json", bytes.NewReader(body))
+	resp, err := operatorClient.Post("http://"+addr+names["calls"]+"?call="+name, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -198,7 +198,7 @@
 		fatal(err)
 	}
 	for n := range 60 {
-		status, answer := call(d.cores[n%len(d.cores)].addr(portControl), "config.patch", b)
+		status, answer := call(d.cores[n%len(d.cores)].addr(portControl), names["patch"], b)
 		if status == 200 || status == 400 || status == 409 || status == 422 {
 			d.log("operator: change: %d %.200s", status, answer)
 			return status
@@ -211,21 +211,21 @@
 
 func route(host, prefix, kind, service string, timeoutMs, version int) map[string]any {
 	return map[string]any{
-		"host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": timeoutMs, "target_latency_ms": 600, "priority": 1,
-		"service": service, "max_attempts": 2, "version": fmt.Sprintf("r%d", version),
+		"host": host, names["prefix"]: prefix, "kind": kind, "timeout_ms": timeoutMs, names["target"]: 600, "priority": 1,
+		"service": service, names["attempts"]: 2, "version": fmt.Sprintf("r%d", version),
 	}
 }
 
 func service(sharded bool, version int) map[string]any {
-	s := map[string]any{"health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false, "version": fmt.Sprintf("r%d", version)}
+	s := map[string]any{names["health"]: "/healthz", "max_connections": 110, "protocol": "h1", "tls": false, "version": fmt.Sprintf("r%d", version)}
 	if sharded {
-		s["sharded"], s["warmup_s"], s["grants"] = true, 3.0, "heartbeat"
+		s["sharded"], s[names["warm_up"]], s["grants"] = true, 3.0, "heartbeat"
 	}
 	return s
 }
 
 func limits() map[string]any {
-	return map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "version": "r1"}
+	return map[string]any{names["header_bytes"]: 16384, "max_body_bytes": 67108864, names["header_ms"]: 3000, "idle_timeout_ms": 15000, "version": "r1"}
 }
 
 // ready reports whether the process counts as ready.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -75,7 +76,7 @@
 	if err != nil {
 		fatal(err)
 	}
-	r, _ := http.NewRequestWithContext(s.ctx, "POST", "http://"+s.m.addr(portControl)+"/rpc?call="+name+"&of="+s.id, bytes.NewReader(b))
+	r, _ := http.NewRequestWithContext(s.ctx, "POST", "http://"+s.m.addr(portControl)+names["calls"]+"?call="+name+"&of="+s.id, bytes.NewReader(b))
 	r.Header.Set("Content-Type", "application/json")
 	resp, err := s.client.Do(r)
 	if err != nil {
@@ -97,7 +98,7 @@
 		s.mu.Unlock()
 		if !silent {
 			body, sent, draining := s.nextBeat()
-			status, t := s.call("instances.heartbeat", body)
+			status, t := s.call(names["beat"], body)
 			switch {
 			case status == 200:
 				pause = s.onReply(t, sent, draining)
@@ -133,7 +134,7 @@
 	}
 	s.reported = len(s.freed)
 	return map[string]any{
-		"service": s.m.service, "address": s.m.addr(portApp), "zone": s.m.zone, "version": "v1", "slots": slots, "state": state, "cold_left_ms": 0,
+		"service": s.m.service, "address": s.m.addr(portApp), names["place"]: s.m.place, "version": "v1", "slots": slots, "state": state, names["cold_ms"]: 0,
 		"seq": s.seq, "born": s.born, "holds": s.rows(), "freed": append([][3]any{}, s.freed...),
 	}, now, s.draining
 }
@@ -175,11 +176,10 @@
 }
 
 func (s *server) onReply(t []byte, sent time.Time, draining bool) time.Duration {
-	var reply struct {
-		Holds  *[][4]any `json:"holds"`
-		HoldMs float64   `json:"hold_ms"`
-	}
-	err := json.Unmarshal(t, &reply)
+	var reply map[string]json.RawMessage
+	var rows *[][4]any
+	var holdMs float64
+	err := errors.Join(json.Unmarshal(t, &reply), unmarshalIf(reply["holds"], &rows), unmarshalIf(reply[names["hold"]], &holdMs))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -191,11 +191,11 @@
 	s.reported = 0
 	s.answered++
 	s.expire(now)
-	if err != nil || reply.Holds == nil || !s.up {
+	if err != nil || rows == nil || !s.up {
 		return heartbeat
 	}
 	var next [keys]uint32
-	for _, row := range *reply.Holds {
+	for _, row := range *rows {
 		from, to, fence := int(row[0].(float64)), int(row[1].(float64)), uint32(row[2].(float64))
 		seen := false
 		for k := from; k <= to; k++ {
@@ -228,13 +228,21 @@
 		}
 	}
 	s.fences = next
-	s.until = sent.Add(time.Duration(reply.HoldMs * float64(time.Millisecond)))
+	s.until = sent.Add(time.Duration(holdMs * float64(time.Millisecond)))
 	if got+lost > 0 {
-		s.m.d.log("server %s: %d keys given, %d taken away, held for %.0f ms", s.id, got, lost, reply.HoldMs)
+		s.m.d.log("server %s: %d keys given, %d taken away, held for %.0f ms", s.id, got, lost, holdMs)
 	}
 	return pause
 }
 
+// unmarshalIf decodes a field that may be missing.
+func unmarshalIf(b []byte, v any) error {
+	if len(b) == 0 {
+		return nil
+	}
+	return json.Unmarshal(b, v)
+}
+
 func (s *server) release(k int) {
 	token := fmt.Sprintf("%s-%d", s.id, s.seq)
 	if n := len(s.freed); n > 0 && s.freed[n-1][1] == k-1 && s.freed[n-1][2] == token {
@@ -259,7 +267,7 @@
 }
 
 func (s *server) refuse(w http.ResponseWriter, status int) {
-	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set(names["not_run"], "1")
 	w.WriteHeader(status)
 }
 
@@ -267,24 +275,24 @@
 	id := r.Header.Get("X-Request-Id")
 	h := w.Header()
 	s.mu.Lock()
-	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", s.running, s.waiting, slots))
+	h.Set(names["load"], fmt.Sprintf("%d,%d,%d", s.running, s.waiting, slots))
 	if s.leaving {
 		h.Set("Server-Leaving", "1")
 	}
 	s.mu.Unlock()
 	h.Set("Keep-Alive", "timeout=10")
-	h.Set("X-Instance-Id", s.id)
+	h.Set(names["server_id"], s.id)
 	if r.URL.Path == "/healthz" {
 		return
 	}
 	h.Set("X-Request-Id", id)
 	deadline := time.Now().Add(time.Hour)
-	if ms, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms")); err == nil {
+	if ms, err := strconv.Atoi(r.Header.Get(names["deadline"])); err == nil {
 		deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
 	key := -1
 	if s.sharded {
-		key, _ = strconv.Atoi(r.Header.Get("X-Shard-Key"))
+		key, _ = strconv.Atoi(r.Header.Get(names["key"]))
 	}
 	s.mu.Lock()
 	s.expire(time.Now())
@@ -293,7 +301,7 @@
 		s.mu.Unlock()
 		s.refuse(w, 400)
 		return
-	case r.Header.Get("X-Expected-Instance") != "" && r.Header.Get("X-Expected-Instance") != s.id, key >= 0 && s.fences[key] == 0:
+	case r.Header.Get(names["expected"]) != "" && r.Header.Get(names["expected"]) != s.id, key >= 0 && s.fences[key] == 0:
 		s.mu.Unlock()
 		s.refuse(w, 421)
 		return
@@ -362,7 +370,7 @@
 	if status == 0 || !up {
 		panic(http.ErrAbortHandler)
 	}
-	h.Set("X-Response-Signature", "sig."+s.id+"."+id)
+	h.Set(names["signature"], "sig."+s.id+"."+id)
 	w.WriteHeader(status)
 	io.WriteString(w, "answer to "+id)
 }
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -66,7 +66,7 @@
 		seeds = append(seeds, c.addr(portControl))
 	}
 	f := map[string]any{
-		"ip": m.ip, "zone": m.zone, "region": "east",
+		"ip": m.ip, names["place"]: m.place, "region": "east",
 		"internal_port_range.0": portInternal, "internal_port_range.1": portInternal + 15,
 		"listen.control": m.addr(portControl), "seeds": seeds, "heartbeat_ms": int(heartbeat.Milliseconds()),
 		"fault_tolerance.machines": 2, "bounds.hold_max_ms": 10000, "bounds.drain_ms": int(drainTime.Milliseconds()), "bounds.grace_s": 6,
