review: overlapping rows of a heartbeat, a new first case

Tracker.reportsHeld searches the rows that a server lists as if none lay inside another. A key goes to another server while the first is at work on it, during planned work alone; after a restart two servers hold keys.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/pollenlatch ] && [ -x target/review-standin ] || { echo "build first: the build of the deploy file, then review/build.sh" >&2; exit 2; }
-exec target/review-standin foreign-beat review/1/record.txt
+exec target/review-standin rows review/1/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 		os.Exit(2)
 	}
 	run, ok := map[string]func(*deployment) (bool, string){
+		"rows":         overlappingRows,
 		"foreign-beat": foreignBeat,
 		"drain-queue":  drainQueue,
 		"old-beat":     oldBeat,
--- a/review/standin/owner.go
+++ b/review/standin/owner.go
@@ -14,12 +14,48 @@
 	worst   time.Duration
 	text    string
 	done    chan struct{}
+	early   int    // keys given while another server was still at work on them
+	first   string // of them
 }
 
 func (c *ownerCheck) add(s *server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.servers = append(c.servers, s)
+	s.onGiven = c.given
+}
+
+// given checks keys that a server has just got: no other server that is up may still be
+// at work on them whose hold would not have run out yet.
+func (c *ownerCheck) given(to *server, keys []int) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		if s == to {
+			continue
+		}
+		s.mu.Lock()
+		for _, k := range keys {
+			if !s.up || s.working[k] == 0 || !now.Before(s.heldUntil[k]) {
+				continue
+			}
+			c.early++
+			text := fmt.Sprintf("key %d given to %s while %s is at work on it, whose hold would have lasted %v longer", k, to.id, s.id, s.heldUntil[k].Sub(now).Round(time.Millisecond))
+			if c.first == "" {
+				c.first = text
+			}
+			to.m.d.log("check: %s", text)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// givenEarly returns how many keys were given while another server was at work on them.
+func (c *ownerCheck) givenEarly() (int, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.early, c.first
 }
 
 func (c *ownerCheck) run(d *deployment) {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -40,7 +40,10 @@
 	fences     [keys]uint32 // of held keys; 0 is not held
 	highest    [keys]uint32
 	working    [keys]uint8
+	workFence  [keys]uint32    // under which the running work on a key began
+	heldUntil  [keys]time.Time // end of the hold by the last answer that listed the key
 	until      time.Time
+	onGiven    func(s *server, given []int) // keys that an answer has given
 	freed      [][3]any
 	reported   int
 	answered   int // heartbeats with an answer
@@ -157,21 +160,31 @@
 	}
 }
 
-// rows returns the keys that the server holds or is working on.
+// rows returns the rows that the server holds, and then those that it is still working on
+// under another fencing token or without holding them any more.
 func (s *server) rows() [][3]any {
 	rows := [][3]any{}
-	listed := func(k int) bool { return s.fences[k] != 0 || s.working[k] > 0 }
-	for k := 0; k < keys; k++ {
-		if !listed(k) {
-			continue
-		}
-		to := k
-		for to+1 < keys && listed(to+1) && s.highest[to+1] == s.highest[k] {
-			to++
+	add := func(fence func(k int) uint32) {
+		for k := 0; k < keys; k++ {
+			f := fence(k)
+			if f == 0 {
+				continue
+			}
+			to := k
+			for to+1 < keys && fence(to+1) == f {
+				to++
+			}
+			rows = append(rows, [3]any{k, to, f})
+			k = to
 		}
-		rows = append(rows, [3]any{k, to, s.highest[k]})
-		k = to
 	}
+	add(func(k int) uint32 { return s.fences[k] })
+	add(func(k int) uint32 {
+		if s.working[k] == 0 || s.workFence[k] == s.fences[k] {
+			return 0
+		}
+		return s.workFence[k]
+	})
 	return rows
 }
 
@@ -209,14 +222,17 @@
 			next[k] = fence
 		}
 	}
-	pause, got, lost := heartbeat, 0, 0
+	pause, lost := heartbeat, 0
+	var given []int
+	until := sent.Add(time.Duration(holdMs * float64(time.Millisecond)))
 	for k := range next {
 		switch {
 		case next[k] != 0:
 			if s.fences[k] == 0 {
-				got++
+				given = append(given, k)
 			}
 			s.highest[k] = next[k]
+			s.heldUntil[k] = until
 		case s.fences[k] != 0:
 			lost++
 			pause = 80 * time.Millisecond
@@ -228,9 +244,12 @@
 		}
 	}
 	s.fences = next
-	s.until = sent.Add(time.Duration(holdMs * float64(time.Millisecond)))
-	if got+lost > 0 {
-		s.m.d.log("server %s: %d keys given, %d taken away, held for %.0f ms", s.id, got, lost, holdMs)
+	s.until = until
+	if len(given)+lost > 0 {
+		s.m.d.log("server %s: %d keys given, %d taken away, held for %.0f ms", s.id, len(given), lost, holdMs)
+	}
+	if s.onGiven != nil && len(given) > 0 {
+		go s.onGiven(s, given)
 	}
 	return pause
 }
@@ -335,6 +354,9 @@
 	}
 	s.running++
 	if key >= 0 {
+		if s.working[key] == 0 {
+			s.workFence[key] = s.fences[key]
+		}
 		s.working[key]++
 	}
 	s.mu.Unlock()
