beat: log why ranges count as released

Four hypotheses give the same picture from outside: the grants counted as expired too early, the server counted as ended, its heartbeat did not list the key, or the daemon did not find the key in the list. Nothing that was logged told them apart.

"ranges were released" now names the cause, the number of ranges, the heartbeat and how many rows it listed, and what was left of the grants.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -78,6 +78,7 @@
 	released      []pollenlatch.KeyRange                  // reported by the server as released, the newest last
 	grantsEnd     pollenlatch.MonoTime                    // all grants of the server have expired then
 	waiters       map[lease.Key]func(token string)        // see AwaitRelease
+	releases      map[releaseCause]int                    // ranges that were released since the last log line
 	replied       chan struct{}                           // closed at the next reply
 
 	limit            float64                 // named by the responses of the server, in requests a second; 0 is none
@@ -101,7 +102,7 @@
 	return &Tracker{
 		cfg: cfg, start: now, grantsEnd: now.Add(cfg.InheritedTTL),
 		ended:   make(map[pollenlatch.Incarnation]bool),
-		waiters: make(map[lease.Key]func(string)),
+		waiters: make(map[lease.Key]func(string)), releases: make(map[releaseCause]int),
 	}
 }
 
@@ -127,6 +128,7 @@
 	}
 	t.recordHeld(&b)
 	t.notifyReleased(now)
+	t.logReleases()
 	reply := t.buildReply(now)
 	if t.replied != nil {
 		close(t.replied)
@@ -174,6 +176,7 @@
 	t.grantsEnd = 0
 	for key, done := range t.waiters {
 		delete(t.waiters, key)
+		t.releases[causeEnded]++
 		done("")
 	}
 }
@@ -408,13 +411,22 @@
 	return !ok || t.reportsHeld(svc, r)
 }
 
+// releaseCause is why the server is known to hold a range no longer.
+type releaseCause string
+
+const (
+	causeEnded     releaseCause = "server ended"
+	causeExpired   releaseCause = "grants expired"
+	causeNotListed releaseCause = "not listed"
+)
+
 // AwaitRelease calls done when the server no longer holds the shard, with the
 // token from the server or "". That may be before AwaitRelease returns.
 func (t *Tracker) AwaitRelease(key lease.Key, done func(token string)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.mayHold(key.Range, t.cfg.Clock.Now()) {
-		done(t.releaseToken(key.Range))
+	if now := t.cfg.Clock.Now(); !t.mayHold(key.Range, now) {
+		t.release(key, done, now)
 		return
 	}
 	t.waiters[key] = done
@@ -425,7 +437,29 @@
 	for key, done := range t.waiters {
 		if !t.mayHold(key.Range, now) {
 			delete(t.waiters, key)
-			done(t.releaseToken(key.Range))
+			t.release(key, done, now)
 		}
 	}
 }
+
+// release reports a shard as released.
+func (t *Tracker) release(key lease.Key, done func(token string), now pollenlatch.MonoTime) {
+	switch {
+	case t.grantsEnd == 0:
+		t.releases[causeEnded]++
+	case now >= t.grantsEnd:
+		t.releases[causeExpired]++
+	default:
+		t.releases[causeNotListed]++
+	}
+	done(t.releaseToken(key.Range))
+}
+
+// logReleases logs the releases since the last call, by cause.
+func (t *Tracker) logReleases() {
+	for cause, n := range t.releases {
+		klog.InfoS("ranges were released", "server", t.server.ID, "cause", cause, "ranges", n, "seq", t.seq,
+			"listedRows", len(t.held), "grantsLeftMs", max(0, t.grantsEnd.Sub(t.cfg.Clock.Now())).Milliseconds())
+	}
+	clear(t.releases)
+}
--- a/beat/watch.go
+++ b/beat/watch.go
@@ -121,6 +121,7 @@
 		t.mu.Lock()
 		now := t.cfg.Clock.Now()
 		t.notifyReleased(now)
+		t.logReleases()
 		e := t.server
 		silent := e.Incarnation != 0 && now.Sub(t.receivedAt) > t.cfg.Interval+t.cfg.Interval/4
 		svc, _ := t.cfg.Control.View().Service(e.Service)
