beat: find held keys in overlapping key ranges

Cause: a server lists a key twice when its fence has risen while a request from before still runs. The search through the listed rows was a bisection by their last key, which misses the wider of two rows when one lies inside the other. The range counted as released.

Fix: the tracker searches the union of the listed rows, whose key ranges are disjoint.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -72,7 +72,8 @@
 	ended         map[pollenlatch.Incarnation]bool
 	leaving       bool                                    // the server has said so, other than by a heartbeat
 	drainingSince pollenlatch.MonoTime                    // when it was first known that the server is leaving; 0 before
-	held          []pollenlatch.KeyRange                  // listed by the newest heartbeat, sorted by key
+	held          []pollenlatch.KeyRange                  // listed by the newest heartbeat; they may overlap
+	heldKeys      []pollenlatch.KeyRange                  // union of held, without fences
 	granted       map[pollenlatch.Range]grant             // by the newest reply, without those that a later heartbeat did not list as held
 	fences        map[pollenlatch.Range]pollenlatch.Fence // highest fence that the server has received for the range
 	released      []pollenlatch.KeyRange                  // reported by the server as released, the newest last
@@ -172,7 +173,7 @@
 // clearGrants discards the grants of a server that has ended, and notifies all
 // waiters.
 func (t *Tracker) clearGrants() {
-	t.held, t.granted, t.fences, t.released = nil, nil, nil, nil
+	t.held, t.heldKeys, t.granted, t.fences, t.released = nil, nil, nil, nil, nil
 	t.grantsEnd = 0
 	for key, done := range t.waiters {
 		delete(t.waiters, key)
@@ -189,8 +190,7 @@
 // not held. Key ranges are kept instead of ranges, since this daemon may not know
 // yet how the service is divided.
 func (t *Tracker) recordHeld(b *pollenlatch.Heartbeat) {
-	t.held = slices.Clone(b.Held)
-	slices.SortFunc(t.held, compareFirst)
+	t.held, t.heldKeys = slices.Clone(b.Held), union(b.Held)
 	t.released = append(t.released, b.Released...)
 	t.released = t.released[max(0, len(t.released)-maxReleased):]
 	svc, ok := t.service()
@@ -206,6 +206,22 @@
 
 func compareFirst(a, b pollenlatch.KeyRange) int { return cmp.Compare(a.First, b.First) }
 
+// union returns the keys of key ranges that may overlap, as disjoint key ranges
+// sorted by key. A server lists a key twice when its fence has risen while a request
+// from before is still running.
+func union(ranges []pollenlatch.KeyRange) []pollenlatch.KeyRange {
+	sorted := slices.SortedFunc(slices.Values(ranges), compareFirst)
+	out := sorted[:0]
+	for _, kr := range sorted {
+		if n := len(out); n > 0 && kr.First <= out[n-1].Last+1 {
+			out[n-1].Last = max(out[n-1].Last, kr.Last)
+			continue
+		}
+		out = append(out, pollenlatch.KeyRange{First: kr.First, Last: kr.Last})
+	}
+	return out
+}
+
 // service returns the service of the server. ok is false when this daemon does
 // not know how the service is divided.
 func (t *Tracker) service() (pollenlatch.Service, bool) {
@@ -217,8 +233,8 @@
 // held.
 func (t *Tracker) reportsHeld(svc pollenlatch.Service, r pollenlatch.Range) bool {
 	first, last := svc.Keys(r)
-	n, _ := slices.BinarySearchFunc(t.held, first, func(kr pollenlatch.KeyRange, key uint32) int { return cmp.Compare(kr.Last, key) })
-	return n < len(t.held) && t.held[n].First <= last
+	n, _ := slices.BinarySearchFunc(t.heldKeys, first, func(kr pollenlatch.KeyRange, key uint32) int { return cmp.Compare(kr.Last, key) })
+	return n < len(t.heldKeys) && t.heldKeys[n].First <= last
 }
 
 // releaseToken returns the token with which the server released a range, or "".
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -1,6 +1,8 @@
 package beat
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -264,6 +266,63 @@
 	})
 }
 
+// Guards against keys that count as released while the server lists them: it lists a
+// key twice when its fence has risen while a request from before is still running, and
+// the search through the list missed the wider of two such key ranges.
+func TestOverlappingHeldKeyRanges(t *testing.T) {
+	wide := pollenlatch.KeyRange{First: 0, Last: 4*keysPerRange - 1, Fence: 45}
+	inner := func(fence pollenlatch.Fence, first, last uint32) pollenlatch.KeyRange {
+		return pollenlatch.KeyRange{First: first, Last: last, Fence: fence}
+	}
+	for _, tt := range []struct {
+		name string
+		held []pollenlatch.KeyRange
+	}{
+		{"one at the start of the other", []pollenlatch.KeyRange{wide, inner(34, 0, 20)}},
+		{"one inside the other", []pollenlatch.KeyRange{wide, inner(34, keysPerRange+7, keysPerRange+7)}},
+		{"the inner one first", []pollenlatch.KeyRange{inner(34, 0, 127), wide}},
+		{"several inside", []pollenlatch.KeyRange{wide, inner(34, 20, 20), inner(31, 30, 40), inner(34, keysPerRange, 2*keysPerRange)}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f, e := newFixture(t), newEndpoint("i-1", 1)
+			f.initState(e)
+			f.assign(0, 1, 2, 3)
+			f.heartbeat(e)
+			var released []*string
+			for n := range 4 {
+				released = append(released, f.awaitRelease(f.freeze(n)))
+			}
+			f.heartbeat(e, tt.held...)
+			for n, r := range released {
+				require.Equal(t, "waiting", *r, "range %d is listed as held", n)
+			}
+			f.heartbeat(e, inner(34, 20, 20))
+			for n, r := range released {
+				require.Equal(t, n == 0, *r == "waiting", "range %d", n)
+			}
+		})
+	}
+	t.Run("at random", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(34, 1))
+		f, e := newFixture(t), newEndpoint("i-1", 1)
+		f.initState(e)
+		svc, _ := f.state.Service("listing")
+		for range 2000 {
+			var held []pollenlatch.KeyRange
+			for range rng.IntN(5) {
+				first := rng.Uint32N(1 << pollenlatch.KeyBits)
+				held = append(held, inner(pollenlatch.Fence(rng.IntN(50)), first, first+rng.Uint32N(1<<pollenlatch.KeyBits-first)>>rng.IntN(12)))
+			}
+			f.heartbeat(e, held...)
+			for n := range 1 << testRangeBits {
+				first, last := svc.Keys(pollenlatch.Range(n))
+				want := slices.ContainsFunc(held, func(kr pollenlatch.KeyRange) bool { return kr.First <= last && kr.Last >= first })
+				require.Equal(t, want, f.tracker.reportsHeld(svc, pollenlatch.Range(n)), "range %d of %v", n, held)
+			}
+		}
+	})
+}
+
 // A delayed heartbeat of a server that has ended must not make it the current
 // server again.
 func TestHeartbeatOfReplacedServer(t *testing.T) {
