beat: refuse heartbeats that are not from the local server

What callers saw: one heartbeat of another program, with a service that no configuration names, ended a live server.

Cause: any well-formed heartbeat with a new ID and a later start replaced the server beside the daemon. Neither the service nor the address was compared with the settings, which name both.

Fix: the tracker compares service and address with the settings before it changes anything. The settings are there before the first configuration and don't depend on what it names. The same check holds for the recorded endpoint that a restarted daemon takes over, where an address that went to another service had the same effect.

Tests: TestForeignHeartbeats (beat) does not compile on the code before, which has no such check.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -21,6 +21,8 @@
 var (
 	ErrSuperseded    = errors.New("heartbeat is from a server process that has ended")
 	ErrUnknownServer = errors.New("this daemon has no server with this ID")
+	ErrOtherService  = errors.New("heartbeat names another service than the settings of this daemon")
+	ErrOtherAddress  = errors.New("heartbeat names another address than the settings of this daemon")
 )
 
 const (
@@ -51,6 +53,8 @@
 	Control        Control
 	Observer       pollenlatch.EndpointObserver
 	Clock          pollenlatch.Clock
+	Service        string        // service of the local server; empty accepts any
+	Addr           string        // address of the local server; empty accepts any
 	Interval       time.Duration // regular interval of the server's heartbeats
 	MaxTTL         time.Duration // maximum TTL of grants that the server accepts; 0 is unlimited
 	MaxRangesBytes int           // maximum size of the encoded key ranges of a reply; 0 is unlimited
@@ -109,6 +113,9 @@
 
 // Heartbeat implements pollenlatch.HeartbeatHandler.
 func (t *Tracker) Heartbeat(b pollenlatch.Heartbeat) (pollenlatch.HeartbeatReply, error) {
+	if err := t.checkLocal(&b.Endpoint); err != nil {
+		return pollenlatch.HeartbeatReply{}, err
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Clock.Now()
@@ -138,6 +145,21 @@
 	return reply, nil
 }
 
+// checkLocal checks that an endpoint is that of the local server. Anything that can
+// reach this daemon can send a heartbeat, and one of another program says nothing about
+// the local server. The settings decide, since this daemon may have no configuration
+// yet, or one that does not name the service yet.
+func (t *Tracker) checkLocal(e *pollenlatch.Endpoint) error {
+	switch {
+	case t.cfg.Service != "" && e.Service != t.cfg.Service:
+		return ErrOtherService
+	case t.cfg.Addr != "" && e.Addr != t.cfg.Addr:
+		return ErrOtherAddress
+	default:
+		return nil
+	}
+}
+
 // announceLocked replaces the endpoint of the server. The caller holds mu.
 func (t *Tracker) announceLocked(e pollenlatch.Endpoint) {
 	if e.Limit != t.server.Limit {
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -345,6 +345,66 @@
 	})
 }
 
+// Guards against heartbeats of other programs that replace the local server: its keys
+// went to other servers while it held them, and its own heartbeats were refused for good.
+func TestForeignHeartbeats(t *testing.T) {
+	local := newEndpoint("i-1", 5)
+	foreign := func(change func(*pollenlatch.Endpoint)) pollenlatch.Endpoint {
+		e := newEndpoint("i-other", 99)
+		change(&e)
+		return e
+	}
+	for _, tt := range []struct {
+		name string
+		e    pollenlatch.Endpoint
+		want error
+	}{
+		{"service that no configuration names", foreign(func(e *pollenlatch.Endpoint) { e.Service = "zumu07x" }), ErrOtherService},
+		{"service of other instances", foreign(func(e *pollenlatch.Endpoint) { e.Service = "claims" }), ErrOtherService},
+		{"another address", foreign(func(e *pollenlatch.Endpoint) { e.Addr = "127.0.0.1:2" }), ErrOtherAddress},
+		{"another service under the ID of the server", foreign(func(e *pollenlatch.Endpoint) { e.ID, e.Service = local.ID, "claims" }), ErrOtherService},
+		{"another service of the same incarnation", foreign(func(e *pollenlatch.Endpoint) { *e = local; e.Service = "claims" }), ErrOtherService},
+		{"leaving", foreign(func(e *pollenlatch.Endpoint) { *e = local; e.Service, e.Draining = "claims", true }), ErrOtherService},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.tracker.cfg.Service, f.tracker.cfg.Addr = local.Service, local.Addr
+			requireRefused := func(moment string) {
+				t.Helper()
+				for seq := range uint64(3) {
+					_, err := f.tracker.Heartbeat(pollenlatch.Heartbeat{Endpoint: tt.e, Seq: 1000 + seq})
+					require.ErrorIs(t, err, tt.want, moment)
+				}
+			}
+			requireRefused("before the first heartbeat")
+			f.initState(local)
+			f.assign(0, 1)
+			f.heartbeat(local)
+			requireRefused("while the server holds keys")
+			reply := f.heartbeat(local, keyRanges(9, 0, 1)...)
+			require.NotEmpty(t, reply.Ranges, "the server lost its keys")
+			released := f.awaitRelease(f.freeze(1))
+			requireRefused("during a hand-over")
+			require.Equal(t, "waiting", *released)
+			f.tracker = New(f.tracker.cfg)
+			requireRefused("after a restart of the daemon")
+			require.ErrorIs(t, f.tracker.Inherit(tt.e), tt.want)
+			require.NotEmpty(t, f.heartbeat(local, keyRanges(9, 0, 1)...).Ranges, "the server lost its keys")
+			for _, e := range f.announced {
+				require.Equal(t, local, e)
+			}
+		})
+	}
+	t.Run("the configuration names the service later", func(t *testing.T) {
+		f := newFixture(t)
+		f.tracker.cfg.Service, f.tracker.cfg.Addr = local.Service, local.Addr
+		require.Zero(t, f.heartbeat(local).TTL)
+		f.initState(local)
+		f.assign(0)
+		require.NotEmpty(t, f.heartbeat(local).Ranges)
+	})
+}
+
 // A request must not be sent to a server without a grant of its range. The server
 // would refuse it, and the next attempt would count as a retry.
 func TestHasGrant(t *testing.T) {
--- a/beat/signal.go
+++ b/beat/signal.go
@@ -66,12 +66,16 @@
 }
 
 // Inherit takes over what an earlier process of this daemon has announced of a server
-// that is still running. A server that was leaving then gets no further requests.
-func (t *Tracker) Inherit(e pollenlatch.Endpoint) {
+// that is still running. A server that was leaving then gets no further requests. It
+// fails when the endpoint is not that of the local server.
+func (t *Tracker) Inherit(e pollenlatch.Endpoint) error {
+	if err := t.checkLocal(&e); err != nil {
+		return err
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.server.Incarnation != 0 && t.server.Incarnation != e.Incarnation {
-		return
+		return nil
 	}
 	if t.signalsOf != e.Incarnation || t.limit == 0 {
 		t.setSignalsOf(e.Incarnation)
@@ -80,4 +84,5 @@
 	if e.Draining {
 		t.startLeavingLocked(inheritedDrain)
 	}
+	return nil
 }
--- a/beat/signal_test.go
+++ b/beat/signal_test.go
@@ -55,7 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
 			f.initState(limited)
-			f.tracker.Inherit(limited)
+			require.NoError(t, f.tracker.Inherit(limited))
 			f.heartbeat(newEndpoint(next.id, next.startedAt))
 			require.Equal(t, next.want, f.announced[len(f.announced)-1].Limit)
 		})
@@ -90,7 +90,7 @@
 			if heartbeatFirst {
 				f.heartbeat(e)
 			}
-			f.tracker.Inherit(left)
+			require.NoError(t, f.tracker.Inherit(left))
 			f.heartbeat(e)
 			require.Equal(t, inheritedDrain, f.tracker.DrainingSince())
 			require.True(t, f.announced[len(f.announced)-1].Draining)
@@ -99,7 +99,7 @@
 	t.Run("the next server", func(t *testing.T) {
 		f := newFixture(t)
 		f.initState(left)
-		f.tracker.Inherit(left)
+		require.NoError(t, f.tracker.Inherit(left))
 		f.heartbeat(newEndpoint("s2", 2))
 		require.Zero(t, f.tracker.DrainingSince())
 		require.False(t, f.announced[len(f.announced)-1].Draining)
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -42,7 +42,7 @@
 		DrainTimeout: s.Timings.Drain,
 		TickInterval: platformTick,
 		Platform: &daemon.Platform{
-			Headers: wire.Headers(), LocalService: s.Service, HeartbeatInterval: s.HeartbeatInterval, MaxGrantTTL: s.PlatformLimits.MaxGrantTTL, MaxRangesBytes: wire.MaxRangesBytes,
+			Headers: wire.Headers(), LocalService: s.Service, LocalAddr: s.ServerAddr, HeartbeatInterval: s.HeartbeatInterval, MaxGrantTTL: s.PlatformLimits.MaxGrantTTL, MaxRangesBytes: wire.MaxRangesBytes,
 			RetryBudget: retryBudget(s.PlatformLimits),
 		},
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -17,6 +17,7 @@
 type Platform struct {
 	Headers           pollenlatch.Headers
 	LocalService      string        // service of the local server; empty when there is none
+	LocalAddr         string        // address of the local server; empty accepts the one that it announces
 	HeartbeatInterval time.Duration // interval of the local server's heartbeats
 	MaxGrantTTL       time.Duration // maximum time for which a server may keep its grants without a heartbeat
 	MaxRangesBytes    int           // maximum size of the ranges in the reply to a heartbeat
@@ -71,8 +72,8 @@
 func (d *Daemon) newTracker() *beat.Tracker {
 	p := d.cfg.Platform
 	return beat.New(beat.Config{
-		Control: &d.control, Observer: d, Clock: pollenlatch.BootClock{}, Interval: p.HeartbeatInterval, MaxTTL: p.MaxGrantTTL, MaxRangesBytes: p.MaxRangesBytes,
-		InheritedTTL: d.cfg.Timing.Lease,
+		Control: &d.control, Observer: d, Clock: pollenlatch.BootClock{}, Service: p.LocalService, Addr: p.LocalAddr, Interval: p.HeartbeatInterval,
+		MaxTTL: p.MaxGrantTTL, MaxRangesBytes: p.MaxRangesBytes, InheritedTTL: d.cfg.Timing.Lease,
 	})
 }
 
@@ -196,6 +197,10 @@
 // inheritEndpoint takes over the endpoint that an earlier process of this daemon has
 // announced.
 func (d *Daemon) inheritEndpoint(e pollenlatch.Endpoint) {
+	if err := d.tracker.Inherit(e); err != nil {
+		klog.InfoS("recorded endpoint is not used after a restart", "server", e.ID, "err", err)
+		return
+	}
 	d.mu.Lock()
 	switch {
 	case !d.endpointKnown:
@@ -204,7 +209,6 @@
 		d.restoreLimitLocked(e.Limit)
 	}
 	d.mu.Unlock()
-	d.tracker.Inherit(e)
 	klog.InfoS("endpoint of the local server restored after a restart", "server", e.ID, "ready", e.Ready, "limit", e.Limit)
 }
 
