beat, state: acknowledge departures once they are recorded

Cause: the daemon acknowledged from memory. It has no disk, so a kill lost the departure unless the voters had recorded it. Two more ways led there: a daemon that was away for longer than its lease joined anew without its endpoint, and a restarted daemon could announce the server as ready from its next heartbeat.

Fix: a deregistration and a draining heartbeat are acknowledged once the state shows the departure. The state keeps the endpoint of a leaving server over a join and until another server process is announced.

TestLeavingEndpointIsKept failed in "restart after the lease", "announced again" and "announced again after the lease".

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -39,6 +39,8 @@
 type Control interface {
 	Self() pollenlatch.InstanceID
 	View() pollenlatch.View
+	// Changed returns a channel that is closed when the view changes next.
+	Changed() <-chan struct{}
 	// LeaseEnd returns the end of this daemon's lease, or 0 without one.
 	LeaseEnd() pollenlatch.MonoTime
 	// JoinVersion returns the version of the first state that included this
@@ -74,7 +76,7 @@
 	seq           uint64               // of the newest heartbeat
 	receivedAt    pollenlatch.MonoTime // when the newest heartbeat arrived
 	ended         map[pollenlatch.Incarnation]bool
-	leaving       bool                                    // the server has said so, other than by a heartbeat
+	leaving       bool                                    // the server has said so
 	drainingSince pollenlatch.MonoTime                    // when it was first known that the server is leaving; 0 before
 	held          []pollenlatch.KeyRange                  // listed by the newest heartbeat; they may overlap
 	heldKeys      []pollenlatch.KeyRange                  // union of held, without fences
@@ -122,14 +124,21 @@
 	if err := t.acceptIncarnation(&b, now); err != nil {
 		return pollenlatch.HeartbeatReply{}, err
 	}
-	if b.Seq <= t.seq {
-		return pollenlatch.HeartbeatReply{}, nil // delayed; there was a reply to a newer heartbeat
+	if b.Seq <= t.seq { // delayed; a newer heartbeat was handled
+		if b.Endpoint.Draining && !t.leavingRecorded(b.Endpoint.Incarnation) {
+			return pollenlatch.HeartbeatReply{}, pollenlatch.ErrNotRecorded
+		}
+		return pollenlatch.HeartbeatReply{}, nil
 	}
 	t.seq, t.receivedAt = b.Seq, now
-	if b.Endpoint.Draining && t.drainingSince == 0 {
-		t.drainingSince = now
+	draining := b.Endpoint.Draining
+	if draining {
+		t.leaving = true
+		if t.drainingSince == 0 {
+			t.drainingSince = now
+		}
 	}
-	b.Endpoint.Draining = b.Endpoint.Draining || t.leaving
+	b.Endpoint.Draining = t.leaving
 	b.Endpoint.Limit = t.limit
 	if b.Endpoint != t.server {
 		t.announceLocked(b.Endpoint)
@@ -137,6 +146,15 @@
 	t.recordHeld(&b)
 	t.notifyReleased(now)
 	t.logReleases()
+	if draining && !t.leavingRecorded(b.Endpoint.Incarnation) {
+		t.mu.Unlock()
+		err := t.awaitLeavingRecorded(b.Endpoint.Incarnation)
+		t.mu.Lock()
+		if err != nil || t.server.Incarnation != b.Endpoint.Incarnation || t.seq != b.Seq {
+			return pollenlatch.HeartbeatReply{}, err
+		}
+		now = t.cfg.Clock.Now()
+	}
 	reply := t.buildReply(now)
 	if t.replied != nil {
 		close(t.replied)
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -25,11 +25,18 @@
 	announced   []pollenlatch.Endpoint
 	lost        int
 	seq         uint64
+	changed     chan struct{} // closed when the state changes; nil before the first call of Changed
 }
 
-func (f *fixture) Now() pollenlatch.MonoTime        { return f.now }
-func (f *fixture) Self() pollenlatch.InstanceID     { return 1 }
-func (f *fixture) View() pollenlatch.View           { return f.state }
+func (f *fixture) Now() pollenlatch.MonoTime    { return f.now }
+func (f *fixture) Self() pollenlatch.InstanceID { return 1 }
+func (f *fixture) View() pollenlatch.View       { return f.state }
+func (f *fixture) Changed() <-chan struct{} {
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
 func (f *fixture) LeaseEnd() pollenlatch.MonoTime   { return f.leaseEnd }
 func (f *fixture) JoinVersion() pollenlatch.Version { return f.joinVersion }
 func (f *fixture) Announce(e pollenlatch.Endpoint)  { f.announced = append(f.announced, e) }
--- a/beat/signal.go
+++ b/beat/signal.go
@@ -15,6 +15,9 @@
 	// such announcements. Each is a log entry that goes to all daemons.
 	minLimitChange   = 0.1
 	minLimitInterval = 500 * time.Millisecond
+	// recordTimeout limits the wait until the state records that a server is leaving.
+	// The server discards an acknowledgement that takes longer than a second.
+	recordTimeout = 800 * time.Millisecond
 	// inheritedDrain is the time since which a server counts as leaving that left
 	// before this process started: since the start of the machine.
 	inheritedDrain pollenlatch.MonoTime = 1
@@ -42,6 +45,33 @@
 	t.announceLocked(e)
 }
 
+// leavingRecorded reports whether the replicated state records that a server is
+// leaving. A restarted process of this daemon then knows it too.
+func (t *Tracker) leavingRecorded(i pollenlatch.Incarnation) bool {
+	self, ok := t.cfg.Control.View().Instance(t.cfg.Control.Self())
+	return ok && self.Endpoint != nil && self.Endpoint.Incarnation == i && self.Endpoint.Draining
+}
+
+// awaitLeavingRecorded waits until leavingRecorded. The departure must not be
+// acknowledged before: this process may be killed at any moment.
+func (t *Tracker) awaitLeavingRecorded(i pollenlatch.Incarnation) error {
+	start := time.Now()
+	timeout := time.NewTimer(recordTimeout)
+	defer timeout.Stop()
+	for {
+		changed := t.cfg.Control.Changed()
+		if t.leavingRecorded(i) {
+			klog.InfoS("departure of the server was recorded", "incarnation", i, "took", time.Since(start))
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return pollenlatch.ErrNotRecorded
+		}
+	}
+}
+
 // startLeavingLocked records that the server is leaving although its heartbeats may not
 // say so. A server does not return from that. The caller holds mu.
 func (t *Tracker) startLeavingLocked(since pollenlatch.MonoTime) {
--- a/beat/watch.go
+++ b/beat/watch.go
@@ -98,12 +98,14 @@
 // Leave implements pollenlatch.HeartbeatHandler.
 func (t *Tracker) Leave(id string) error {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.server.ID != id || id == "" {
+		t.mu.Unlock()
 		return ErrUnknownServer
 	}
 	t.startLeavingLocked(t.cfg.Clock.Now())
-	return nil
+	i := t.server.Incarnation
+	t.mu.Unlock()
+	return t.awaitLeavingRecorded(i)
 }
 
 // Watch notifies the waiters when grants expire, and detects the end of the
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -1,6 +1,13 @@
 package pollenlatch
 
-import "time"
+import (
+	"errors"
+	"time"
+)
+
+// ErrNotRecorded is the error of a call that could not be recorded in the replicated
+// state in time. The same call may be sent again.
+var ErrNotRecorded = errors.New("the departure of the server could not be recorded in time")
 
 // Heartbeat is a heartbeat of the local server.
 type Heartbeat struct {
@@ -28,9 +35,11 @@
 // HeartbeatHandler handles the heartbeats of the local server.
 type HeartbeatHandler interface {
 	// Heartbeat handles a heartbeat and returns the grants of the server. It
-	// fails when the heartbeat is not from the current server.
+	// fails when the heartbeat is not from the current server. The first heartbeats of
+	// a server that is draining wait until that is recorded, for less than a second.
 	Heartbeat(b Heartbeat) (HeartbeatReply, error)
-	// Leave reports that the server is about to stop.
+	// Leave reports that the server is about to stop. It waits until that is recorded,
+	// for less than a second.
 	Leave(id string) error
 }
 
--- a/state/instance.go
+++ b/state/instance.go
@@ -38,6 +38,7 @@
 	}
 	d.result.Instance, d.result.Lease = old.ID, pollenlatch.Lease(d.fence)
 	d.setInstance(instance{Instance: pollenlatch.Instance{
+		Endpoint:    leavingEndpoint(old),
 		ID:          old.ID,
 		Name:        j.Name,
 		DC:          j.DC,
@@ -49,6 +50,16 @@
 	}})
 }
 
+// leavingEndpoint returns the endpoint of an instance if its server is leaving, or nil.
+// Such a server may outlast the lease, and the next process of the daemon must not
+// send requests to it.
+func leavingEndpoint(i pollenlatch.Instance) *pollenlatch.Endpoint {
+	if e := i.Endpoint; e != nil && e.Heartbeats && e.Draining {
+		return e
+	}
+	return nil
+}
+
 // takeover replaces the lease of an instance whose process has ended by a new
 // lease for its next process. Shards and the announced endpoint stay.
 func (d *draft) takeover(old pollenlatch.Instance, j *pollenlatch.Join) {
@@ -88,7 +99,7 @@
 }
 
 // expire ends a lease. The announced endpoint is kept until the instance joins
-// again: the leader needs to know whether the server checks fences when it
+// again, and longer if its server is leaving: the leader needs to know whether the server checks fences when it
 // reassigns the shards.
 func (d *draft) expire(e *pollenlatch.Expire) {
 	i := d.instances.get(uint64(e.Instance))
@@ -155,6 +166,9 @@
 		return
 	}
 	restarted := e.Heartbeats && c.Endpoint != nil && c.Endpoint.Incarnation != e.Incarnation
+	if left := leavingEndpoint(c.Instance); left != nil && !restarted {
+		e.Draining = true // a server does not return from that, and a restarted daemon may not know it yet
+	}
 	c.Endpoint = &e
 	d.setInstance(c)
 	if !restarted {
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -290,3 +290,43 @@
 		require.Len(t, h.state.HotKeys("listing"), MaxHotKeys)
 	})
 }
+
+// Guards against servers that are in use again after they left: when the lease of their
+// instance had ended meanwhile, or when a restarted daemon announced them from a
+// heartbeat that did not say so.
+func TestLeavingEndpointIsKept(t *testing.T) {
+	server := pollenlatch.Endpoint{Service: "listing", Incarnation: 7, Ready: true, Heartbeats: true}
+	left, next := server, server
+	left.Draining, next.Incarnation = true, 8
+	for _, tt := range []struct {
+		name      string
+		recorded  pollenlatch.Endpoint
+		expire    bool
+		announced *pollenlatch.Endpoint
+		want      *pollenlatch.Endpoint
+	}{
+		{"restart within the lease", left, false, nil, &left},
+		{"restart after the lease", left, true, nil, &left},
+		{"announced again", left, false, &server, &left},
+		{"announced again after the lease", left, true, &server, &left},
+		{"the next server", left, true, &next, &next},
+		{"a server that was not leaving", server, true, nil, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, 8, "a")
+			announce := func(e pollenlatch.Endpoint) {
+				h.apply(pollenlatch.Command{Announce: &pollenlatch.Announce{Instance: 1, Lease: h.lease(1), Endpoint: e}})
+			}
+			announce(tt.recorded)
+			if tt.expire {
+				h.apply(pollenlatch.Command{Expire: &pollenlatch.Expire{Instance: 1, Lease: h.lease(1)}})
+			}
+			h.apply(pollenlatch.Command{Join: &pollenlatch.Join{Name: "a", Incarnation: 99, Takeover: true}})
+			if tt.announced != nil {
+				announce(*tt.announced)
+			}
+			i, _ := h.state.Instance(1)
+			require.Equal(t, tt.want, i.Endpoint)
+		})
+	}
+}
