halt, daemon: a stopping daemon refuses claims that it might abort

Operators' report: in a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated.

Cause: after SIGTERM a daemon accepted every request that it could read, for 3 s and more. The comment on maxForwardedAcceptTime counted on 2 s for what is in flight; deadlines are 3 s to 6 s.

Fix: package halt decides it from the deadline. A request whose deadline is not after the end of the drain is accepted; one that may be repeated also until 3 s after the signal, whatever its deadline, since few run that long and their callers may send them again. All others are refused at once with 503, not run, and Retry-After says when the process has ended. It holds for callers and for requests of other instances.

What is weighed: on deployments with deadlines above the grace period, a stopping instance refuses claims from the signal on, for the 2 s in which callers still come. Most of these claims would have been served; a claim that is cut leaves its caller in doubt, one that is refused does not.

Open: requests that may be repeated can still be cut, if they come within 3 s of the signal with a deadline beyond the end and run that long.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"pollenlatch/ctrl"
 	"pollenlatch/dedup"
 	"pollenlatch/front"
+	"pollenlatch/halt"
 	"pollenlatch/link"
 	"pollenlatch/local"
 	"pollenlatch/quota"
@@ -111,6 +112,7 @@
 	eventCopies     eventCopies
 
 	shuttingDown  atomic.Bool   // Ready reports false
+	gate          halt.Gate     // refuses requests during a shutdown
 	probeRequests chan struct{} // asks for a probe of the local server
 
 	abortOnce sync.Once
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -79,7 +79,7 @@
 		localHandler = d.countRequests(d.serve)
 	}
 	if d.cfg.Front != "" {
-		forwardedHandler = localHandler
+		forwardedHandler = d.gate.Wrap(localHandler)
 	}
 	node, err := link.New(link.Config{
 		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.incarnation, Key: d.cfg.Key,
@@ -119,7 +119,7 @@
 		routerCfg.ServiceBudgets = &pick.ServiceBudgets{Ratio: p.RetryBudget.Ratio, Burst: p.RetryBudget.Burst}
 	}
 	router := front.NewRouter(routerCfg)
-	frontCfg := front.Config{Control: &d.control, Handler: router, Metrics: d.metrics, Front: d.cfg.Front, Headers: headers}
+	frontCfg := front.Config{Control: &d.control, Handler: d.gate.Wrap(router), Metrics: d.metrics, Front: d.cfg.Front, Headers: headers}
 	if p := d.cfg.Platform; p != nil {
 		frontCfg.LocalService, frontCfg.IdleTimeout, frontCfg.Pacer, frontCfg.LookupNested = p.LocalService, callerIdleTimeout, pacer, d.serve.IsNested
 	} else {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -9,6 +9,7 @@
 
 	"pollenlatch"
 	"pollenlatch/beat"
+	"pollenlatch/halt"
 	"pollenlatch/sketch"
 )
 
@@ -47,9 +48,9 @@
 	// second, and some time for their transmission.
 	notReadyPeriod = 2300 * time.Millisecond
 	// maxForwardedAcceptTime is the maximum time after notReadyPeriod for which
-	// forwarded requests are still accepted: until 3 s after the signal to stop. Of
-	// a typical drain timeout of 5 s this leaves 2 s for requests in flight, which
-	// is more than a run and the transfer of its response on a slow link take.
+	// forwarded requests are still accepted: until 3 s after the signal to stop. Until
+	// then requests that may be repeated are accepted with any deadline. Package halt
+	// refuses others that may last longer than this process.
 	maxForwardedAcceptTime = 700 * time.Millisecond
 	// configChangeTimeout limits the wait for the verdict on a change. Operators
 	// try another instance after one second.
@@ -220,7 +221,10 @@
 	if d.front == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
+	now := time.Now()
+	schedule := halt.Schedule{RepeatableUntil: now.Add(notReadyPeriod + maxForwardedAcceptTime), End: now.Add(d.cfg.DrainTimeout)}
+	d.gate.Begin(schedule)
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.End)
 	defer cancel()
 	d.front.DisableKeepAlives()
 	select {
@@ -234,4 +238,5 @@
 	if forwardedErr != nil {
 		klog.ErrorS(forwardedErr, "forwarded requests were aborted at the drain timeout", "instance", d.cfg.Name)
 	}
+	klog.InfoS("connections are drained", "instance", d.cfg.Name, "took", time.Since(now), "refused", d.gate.Refused())
 }
