serve, admit: give up requests that wait for a draining server

Cause: the endpoint was checked before the wait for a slot and not after it.

Fix: serve checks right before the first byte whether the server has been draining for longer than DrainGrace, and refuses the request as not run. The scheduler refuses the waiting requests at that moment, so that they go to other servers while they have time left.

Test: TestQueuedRequestsAtDrainingServer failed before ("grace time over: An error is expected but got nil") and passes now. A test of the scheduler passes the failure to refuseAll, which has an argument now; it checks the same.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -285,6 +285,12 @@
 	return f
 }
 
+func serverDraining() *pollenlatch.Failure {
+	f := notRun(pollenlatch.ReasonDraining, http.StatusServiceUnavailable, "the server is draining")
+	f.RetryAfter = retryAfter
+	return f
+}
+
 func queueFull(detail string) *pollenlatch.Failure {
 	f := notRun(pollenlatch.ReasonQueueFull, http.StatusServiceUnavailable, detail)
 	f.RetryAfter = retryAfter
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -387,10 +387,10 @@
 	s.startWaiting(now)
 }
 
-// refuseAll refuses all waiting requests because there is no server.
-func (s *schedule) refuseAll() {
+// refuseAll refuses all waiting requests.
+func (s *schedule) refuseAll(newFailure func() *pollenlatch.Failure) {
 	for _, r := range s.waiting {
-		r.onDecision(noServer())
+		r.onDecision(newFailure())
 	}
 	s.waiting = nil
 }
--- a/admit/schedule_test.go
+++ b/admit/schedule_test.go
@@ -209,7 +209,7 @@
 	h.offer("r", pollenlatch.ClassNormal, 0, time.Second)
 	waiting := h.offer("r", pollenlatch.ClassNormal, 0, time.Second)
 	h.sched.slots = 0
-	h.sched.refuseAll()
+	h.sched.refuseAll(noServer)
 	require.Equal(t, pollenlatch.ReasonNoEndpoint, waiting.refused.Reason)
 	require.NotNil(t, h.offer("r", pollenlatch.ClassNormal, 0, time.Second).refused)
 }
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -40,7 +40,7 @@
 	defer s.mu.Unlock()
 	s.sched.slots = n
 	if n <= 0 {
-		s.sched.refuseAll()
+		s.sched.refuseAll(noServer)
 		return
 	}
 	now := time.Now()
@@ -48,6 +48,14 @@
 	s.setWake(now)
 }
 
+// RefuseWaiting refuses the waiting requests, since the server is draining: the router
+// sends them to other servers while there is time. Running requests are not affected.
+func (s *Scheduler) RefuseWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.refuseAll(serverDraining)
+}
+
 // SetLimit sets how many requests a second the server accepts; 0 is no limit.
 func (s *Scheduler) SetLimit(perSecond float64) {
 	s.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -127,6 +127,11 @@
 	SetSlots(n int)
 }
 
+// drainingAdmitter also gives up the requests that wait for a draining server.
+type drainingAdmitter interface {
+	RefuseWaiting()
+}
+
 // limitedAdmitter also keeps a limit that the server names.
 type limitedAdmitter interface {
 	SetLimit(perSecond float64)
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -49,6 +49,13 @@
 	if !d.endpointKnown || e.Incarnation != d.endpoint.Incarnation {
 		d.restoreLimitLocked(e.Limit)
 	}
+	if a, ok := d.admitter.(drainingAdmitter); ok && e.Draining && (!d.endpoint.Draining || d.endpoint.Incarnation != e.Incarnation) {
+		time.AfterFunc(pollenlatch.DrainGrace, func() {
+			if current, _ := d.localServer(); current.Incarnation == e.Incarnation {
+				a.RefuseWaiting()
+			}
+		})
+	}
 	d.endpoint, d.endpointKnown = e, true
 	d.relay.SetEndpoint(withMaxConns(e))
 	d.admitter.SetSlots(int(e.Slots))
--- a/serve/grant_test.go
+++ b/serve/grant_test.go
@@ -113,6 +113,41 @@
 	})
 }
 
+// Guards against requests that wait for a slot of a server and are sent to it long after
+// it has begun to drain: they reached it 2.07 s after the acknowledgement.
+func TestQueuedRequestsAtDrainingServer(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		draining time.Duration // how long when the request is sent; 0 is not draining
+		want     pollenlatch.Reason
+	}{
+		{"not draining", 0, ""},
+		{"just begun to drain", pollenlatch.DrainGrace / 2, ""},
+		{"grace time over", pollenlatch.DrainGrace, pollenlatch.ReasonDraining},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h, grants := newHarness(), &fakeGrants{granted: true}
+			h.server.cfg.Grants = grants
+			h.exchanger.beforeCheck = func() {
+				if tt.draining > 0 {
+					grants.drainingSince = pollenlatch.BootClock{}.Now().Add(-tt.draining)
+				}
+			}
+			_, err := h.call(newRequest())
+			if tt.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			var f *pollenlatch.Failure
+			require.ErrorAs(t, err, &f)
+			require.Equal(t, tt.want, f.Reason)
+			require.Equal(t, pollenlatch.OutcomeNotRun, f.Outcome)
+			require.Zero(t, h.exchanger.runs)
+			h.requireIdle(t)
+		})
+	}
+}
+
 // A draining server must receive no more requests well before it may be stopped.
 func TestDrainGrace(t *testing.T) {
 	now := pollenlatch.BootClock{}.Now()
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -203,6 +203,10 @@
 		if pollenlatch.CallerLeft(ctx) {
 			return refuse(pollenlatch.ReasonCancelled, statusClientClosedRequest, "the caller disconnected")
 		}
+		// The server may have begun to drain while the request waited for its slot.
+		if s.drainGraceOver() {
+			return refuse(pollenlatch.ReasonDraining, http.StatusServiceUnavailable, "the server has been draining for too long")
+		}
 		return permit.Check()
 	}
 	tracked := false // released with the response body
