beat: compare the first heartbeat after a restart with the recorded server

What callers saw: after a restart of the daemon beside a server, a delayed heartbeat of an earlier server passed as the newest.

Cause: which servers have ended was known from the memory of the process only. The recorded endpoint of the earlier process, which names a later start, was ignored when a heartbeat came first.

Fix: a heartbeat is announced, and proves a release, only once the state of this process is known. A server that started before the recorded one is then refused; after the time of three heartbeats it is accepted, since a clock may have been set back.

Test: TestDelayedHeartbeatAfterRestart failed before in "after the state" (no error) and "before the state" (announced), and passes now. In beat_test.go, initState sets the version of the join, which a daemon with a state has.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -73,6 +73,7 @@
 
 	mu            sync.Mutex
 	server        pollenlatch.Endpoint // zero before the first heartbeat
+	announced     bool                 // server was announced; that waits for the state of this process
 	seq           uint64               // of the newest heartbeat
 	receivedAt    pollenlatch.MonoTime // when the newest heartbeat arrived
 	ended         map[pollenlatch.Incarnation]bool
@@ -140,7 +141,7 @@
 	}
 	b.Endpoint.Draining = t.leaving
 	b.Endpoint.Limit = t.limit
-	if b.Endpoint != t.server {
+	if b.Endpoint != t.server || !t.announced {
 		t.announceLocked(b.Endpoint)
 	}
 	t.recordHeld(&b)
@@ -178,14 +179,18 @@
 	}
 }
 
-// announceLocked replaces the endpoint of the server. The caller holds mu.
+// announceLocked replaces the endpoint of the server, and announces it once the state
+// of this process is known: an endpoint recorded there may show that the server has
+// ended. The caller holds mu.
 func (t *Tracker) announceLocked(e pollenlatch.Endpoint) {
 	if e.Limit != t.server.Limit {
 		t.limitAnnouncedAt = t.cfg.Clock.Now()
 		klog.InfoS("limit of the server changed", "server", e.ID, "from", t.server.Limit, "to", e.Limit)
 	}
 	t.server = e
-	t.cfg.Observer.Announce(e)
+	if t.announced = t.cfg.Control.JoinVersion() > 0; t.announced {
+		t.cfg.Observer.Announce(e)
+	}
 }
 
 // acceptIncarnation checks that a heartbeat is not from a server that has ended.
@@ -199,6 +204,8 @@
 		return ErrSuperseded
 	case t.server.Incarnation != 0 && e.StartedAt < t.server.StartedAt && now.Sub(t.receivedAt) < replaceAfterMissed*t.cfg.Interval:
 		return ErrSuperseded
+	case t.server.Incarnation == 0 && t.recordedLaterLocked(e, now):
+		return ErrSuperseded
 	}
 	if t.server.Incarnation != 0 {
 		klog.InfoS("server was replaced", "old", t.server.ID, "new", e.ID, "silent", now.Sub(t.receivedAt))
@@ -210,6 +217,18 @@
 	return nil
 }
 
+// recordedLaterLocked reports whether an earlier process of this daemon has announced a
+// server that started later than e. A heartbeat of e was delayed then. The clock of the
+// machine may have been set back, so that holds only as long as the recorded server may
+// still send its first heartbeats to this process. The caller holds mu.
+func (t *Tracker) recordedLaterLocked(e *pollenlatch.Endpoint, now pollenlatch.MonoTime) bool {
+	self, ok := t.cfg.Control.View().Instance(t.cfg.Control.Self())
+	if !ok || self.Endpoint == nil || t.checkLocal(self.Endpoint) != nil {
+		return false
+	}
+	return e.StartedAt < self.Endpoint.StartedAt && now.Sub(t.start) < replaceAfterMissed*t.cfg.Interval
+}
+
 // clearGrants discards the grants of a server that has ended, and notifies all
 // waiters.
 func (t *Tracker) clearGrants() {
@@ -457,7 +476,7 @@
 	if now >= t.grantsEnd {
 		return false
 	}
-	if t.server.Incarnation == 0 {
+	if !t.announced {
 		return true // an earlier process of this daemon may have granted the range
 	}
 	if _, granted := t.granted[r]; granted {
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -76,7 +76,7 @@
 		f.apply(pollenlatch.Command{Join: &pollenlatch.Join{Name: name, DC: "howrah", Incarnation: pollenlatch.Incarnation(n + 1)}})
 	}
 	f.announce(e)
-	f.leaseEnd = f.now.Add(testLease)
+	f.leaseEnd, f.joinVersion = f.now.Add(testLease), f.state.Version()
 }
 
 func (f *fixture) announce(e pollenlatch.Endpoint) {
@@ -352,6 +352,68 @@
 	})
 }
 
+// Guards against a delayed heartbeat of an earlier server that arrives first at a
+// restarted daemon: the keys of the present server went to others while it held them.
+func TestDelayedHeartbeatAfterRestart(t *testing.T) {
+	old, current := newEndpoint("i-1", 1), newEndpoint("i-2", 2)
+	start := func(t *testing.T) *fixture {
+		t.Helper()
+		f := newFixture(t)
+		f.initState(current)
+		f.assign(0, 1)
+		f.heartbeat(current)
+		f.announced = nil
+		f.tracker = New(f.tracker.cfg)
+		return f
+	}
+	requireCurrent := func(f *fixture) {
+		t.Helper()
+		released := f.awaitRelease(f.freeze(1))
+		require.Equal(f.t, "waiting", *released)
+		require.NotEmpty(f.t, f.heartbeat(current, keyRanges(9, 0, 1)...).Ranges)
+		require.Equal(f.t, "waiting", *released)
+		for _, e := range f.announced {
+			require.Equal(f.t, current, e)
+		}
+		_, err := f.tracker.Heartbeat(pollenlatch.Heartbeat{Endpoint: old, Seq: 99})
+		require.ErrorIs(f.t, err, ErrSuperseded)
+	}
+	t.Run("after the state", func(t *testing.T) {
+		f := start(t)
+		_, err := f.tracker.Heartbeat(pollenlatch.Heartbeat{Endpoint: old, Seq: 9})
+		require.ErrorIs(t, err, ErrSuperseded)
+		require.NoError(t, f.tracker.Inherit(current))
+		requireCurrent(f)
+	})
+	t.Run("before the state", func(t *testing.T) {
+		f := start(t)
+		known, version := f.state, f.joinVersion
+		f.state, f.joinVersion = new(state.State), 0
+		_, err := f.tracker.Heartbeat(pollenlatch.Heartbeat{Endpoint: old, Seq: 9})
+		require.NoError(t, err)
+		require.Empty(t, f.announced)
+		f.state, f.joinVersion = known, version
+		require.NoError(t, f.tracker.Inherit(current))
+		requireCurrent(f)
+	})
+	t.Run("the next server, before the state", func(t *testing.T) {
+		f := start(t)
+		known, version := f.state, f.joinVersion
+		f.state, f.joinVersion = new(state.State), 0
+		next := newEndpoint("i-3", 3)
+		f.heartbeat(next)
+		f.state, f.joinVersion = known, version
+		require.NoError(t, f.tracker.Inherit(current))
+		require.Equal(t, []pollenlatch.Endpoint{next}, f.announced)
+	})
+	t.Run("a server whose clock was set back", func(t *testing.T) {
+		f := start(t)
+		f.now = f.now.Add(replaceAfterMissed * time.Second)
+		_, err := f.tracker.Heartbeat(pollenlatch.Heartbeat{Endpoint: old, Seq: 1})
+		require.NoError(t, err)
+	})
+}
+
 // Guards against heartbeats of other programs that replace the local server: its keys
 // went to other servers while it held them, and its own heartbeats were refused for good.
 func TestForeignHeartbeats(t *testing.T) {
--- a/beat/signal.go
+++ b/beat/signal.go
@@ -105,7 +105,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.server.Incarnation != 0 && t.server.Incarnation != e.Incarnation {
-		return nil
+		if t.announced || t.server.StartedAt >= e.StartedAt {
+			t.announcePendingLocked()
+			return nil
+		}
+		klog.InfoS("delayed heartbeat of an earlier server is discarded", "server", t.server.ID, "recorded", e.ID)
+		t.ended[t.server.Incarnation] = true
+		t.server, t.seq = pollenlatch.Endpoint{}, 0
+		t.held, t.heldKeys, t.released, t.fences = nil, nil, nil, nil
 	}
 	if t.signalsOf != e.Incarnation || t.limit == 0 {
 		t.setSignalsOf(e.Incarnation)
@@ -114,5 +121,20 @@
 	if e.Draining {
 		t.startLeavingLocked(inheritedDrain)
 	}
+	t.announcePendingLocked()
 	return nil
 }
+
+// AnnouncePending announces a server whose heartbeat arrived before the state of this
+// process. It is for a state without a recorded endpoint; see Inherit.
+func (t *Tracker) AnnouncePending() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.announcePendingLocked()
+}
+
+func (t *Tracker) announcePendingLocked() {
+	if t.server.Incarnation != 0 && !t.announced {
+		t.announceLocked(t.server)
+	}
+}
--- a/beat/watch.go
+++ b/beat/watch.go
@@ -45,7 +45,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Clock.Now()
-	if t.server.Incarnation == 0 {
+	if !t.announced {
 		return now < t.grantsEnd, 0
 	}
 	if g, ok := t.granted[s.Range]; ok && g.fence == f && !g.refused && now < t.grantsEnd {
@@ -174,7 +174,7 @@
 // have ended, so its grants are cleared before they expire.
 func (t *Tracker) markLost(e pollenlatch.Endpoint, reason string, ended bool) {
 	t.mu.Lock()
-	if t.server.Incarnation != e.Incarnation || !t.server.Ready {
+	if t.server.Incarnation != e.Incarnation || !t.server.Ready || !t.announced {
 		t.mu.Unlock()
 		return
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -185,6 +185,7 @@
 			if self.Endpoint != nil {
 				d.inheritEndpoint(*self.Endpoint)
 			}
+			d.tracker.AnnouncePending()
 			return
 		}
 		select {
