place: fill a server that lost its ranges while it joined

Trace (log of the daemon beside it): "server was replaced" at 58:20.651, "server is lost ... its heartbeat is overdue" at 58:21.076, 0.425 s after its first heartbeat, whose interval is 0.3 s; no grants in the 15 s that follow, though its heartbeats went on. The planner marks an incarnation as joined when it first plans moves to it. The loss for a moment cancelled these moves, and a server that has joined is never filled again.

Fix: a server without any range is filled, also if it has joined before.

Test: TestServerLostWhileItJoins failed before (0 of 32 ranges) and passes.

--- a/place/place.go
+++ b/place/place.go
@@ -350,7 +350,9 @@
 // between the old servers and the new one.
 func (r *round) fillJoined() {
 	for _, to := range r.servers {
-		if r.state.joined[to.id] == to.incarnation {
+		// A server that was lost for a moment may have lost all its ranges, or those
+		// that were on their way to it.
+		if r.state.joined[to.id] == to.incarnation && to.numRanges > 0 {
 			continue
 		}
 		r.state.joined[to.id] = to.incarnation
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -209,6 +209,21 @@
 	require.LessOrEqual(t, d.numMoves-d.svc.NumRanges(), d.svc.NumRanges()/4+rangesPerGroup, "more ranges moved than necessary")
 }
 
+// Guards against a server that gets no ranges for good, because it was lost for a moment
+// right after it had joined, while its first ranges were on their way.
+func TestServerLostWhileItJoins(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.planOnce()
+	id := d.addServer()
+	d.planOnce()
+	d.servers[id-1].Endpoint.Ready = false
+	d.planOnce()
+	require.Zero(t, d.rangeCounts()[id])
+	d.servers[id-1].Endpoint.Ready = true
+	d.planFor(5 * time.Second)
+	require.InDelta(t, d.svc.NumRanges()/4, d.rangeCounts()[id], rangesPerGroup)
+}
+
 // Unequal load that all servers can handle must not cause moves: a move costs
 // callers more than it gains.
 func TestLoadBelowCapacity(t *testing.T) {
