--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -38,6 +38,7 @@
 	defer f.mu.Unlock()
 	return f.state
 }
+
 func (f *fixture) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
