--- a/command.go
+++ b/command.go
@@ -14,6 +14,7 @@
 	Change   *ConfigChange `protobuf:"bytes,8,opt,name=change"`
 	Divide   *Divide       `protobuf:"bytes,9,opt,name=divide"`
 	Crash    *Crash        `protobuf:"bytes,10,opt,name=crash"`
+	Evacuate *Evacuate     `protobuf:"bytes,11,opt,name=evacuate"`
 }
 
 // Crash records that a server has ended under requests. It is also used to change the
@@ -25,6 +26,13 @@
 	Probation []Fingerprint `protobuf:"bytes,4,rep,name=probation"` // suspects whose quarantine ends; the next strike renews it
 }
 
+// Evacuate starts or ends the evacuation of a data centre. The servers of an evacuated
+// data centre get no new requests.
+type Evacuate struct {
+	DC     string `protobuf:"bytes,1,opt,name=dc"`
+	Finish bool   `protobuf:"varint,2,opt,name=finish"` // ends the evacuation
+}
+
 // Divide sets the number of ranges of a numeric service that has not been
 // divided yet. The number is derived from the servers that have joined.
 type Divide struct {
--- a/config.go
+++ b/config.go
@@ -86,6 +86,7 @@
 	Class         Class             `protobuf:"varint,8,opt,name=class"`
 	MaxAttempts   uint32            `protobuf:"varint,9,opt,name=attempts"` // servers that one request may be sent to; 0 means 1
 	Services      []WeightedService `protobuf:"bytes,10,rep,name=parts"`
+	LargeBody     bool              `protobuf:"varint,11,opt,name=largebody"` // request bodies are large
 }
 
 // WeightedService is a service that receives a share of a route's requests.
--- a/front/parse_routed.go
+++ b/front/parse_routed.go
@@ -38,7 +38,7 @@
 	req := &pollenlatch.Request{Trace: new(pollenlatch.RequestTrace)}
 	h := &req.RequestHead
 	h.Method, h.URI, h.Length = r.Method, uri, r.ContentLength
-	h.Route, h.Idempotent, h.Class, h.Bulk = route.Name, route.Idempotent, route.Class, route.Bulk
+	h.Route, h.Idempotent, h.Class, h.Bulk, h.LargeBody = route.Name, route.Idempotent, route.Class, route.Bulk, route.LargeBody
 	h.MaxAttempts = max(route.MaxAttempts, 1)
 	h.Service = s.splitter.choose(&route)
 	h.Caller = s.cfg.LocalService
--- a/headers.go
+++ b/headers.go
@@ -11,7 +11,8 @@
 	ServerName     string // name of the server that produced the response
 	Signature      string // proves that a server produced the response; checked for presence only
 	NotRun         string // present when the server did not run the request
-	Load           string // load of the server: running, waiting, slots
+	Load           string // load of the server: running, waiting, slots, and the slowness in percent
+	Cold           string // milliseconds for which the server stays cold, in responses of its health check
 	Limit          string // requests a second that the server accepts from all instances together; absent: no limit
 	Leaving        string // present when the server is leaving
 }
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -43,6 +43,13 @@
 	Leave(id string) error
 }
 
+// Evacuator starts and ends evacuations of data centres.
+type Evacuator interface {
+	// Evacuate submits an order to the group and returns once it is committed. An order
+	// that is in force already changes nothing. An order that fails may be sent again.
+	Evacuate(e Evacuate) error
+}
+
 // ConfigStore reads and changes the configuration.
 type ConfigStore interface {
 	// Propose submits items to the group and waits for the verdict. Without a
--- a/interfaces.go
+++ b/interfaces.go
@@ -76,6 +76,7 @@
 	// SentAt is when the request was sent. It is zero for a response that does not
 	// show whether there is a limit when Limit is 0.
 	SentAt time.Time
+	Load   *ServerLoad // nil when the response does not state it
 }
 
 // Granter sends grants to the local server.
--- a/link/failure.go
+++ b/link/failure.go
@@ -12,12 +12,13 @@
 
 // failure is the wire format of pollenlatch.Failure.
 type failure struct {
-	Outcome    pollenlatch.Outcome `protobuf:"varint,1,opt,name=outcome"`
-	Reason     pollenlatch.Reason  `protobuf:"bytes,2,opt,name=reason"`
-	Detail     string              `protobuf:"bytes,3,opt,name=detail"`
-	Status     int32               `protobuf:"varint,4,opt,name=status"`
-	RetryAfter time.Duration       `protobuf:"varint,5,opt,name=after"`
-	Sent       bool                `protobuf:"varint,6,opt,name=sent"`
+	Outcome    pollenlatch.Outcome     `protobuf:"varint,1,opt,name=outcome"`
+	Reason     pollenlatch.Reason      `protobuf:"bytes,2,opt,name=reason"`
+	Detail     string                  `protobuf:"bytes,3,opt,name=detail"`
+	Status     int32                   `protobuf:"varint,4,opt,name=status"`
+	RetryAfter time.Duration           `protobuf:"varint,5,opt,name=after"`
+	Sent       bool                    `protobuf:"varint,6,opt,name=sent"`
+	Hint       *pollenlatch.ServerHint `protobuf:"bytes,7,opt,name=hint"`
 }
 
 // Check reports whether the outcome and the status are those of a failure.
@@ -38,7 +39,7 @@
 	if !errors.As(err, &f) {
 		f = connectionLost("handler: %v", err)
 	}
-	w := &failure{Outcome: f.Outcome, Reason: f.Reason, Detail: f.Detail, Status: int32(f.Status), RetryAfter: f.RetryAfter, Sent: f.Sent}
+	w := &failure{Outcome: f.Outcome, Reason: f.Reason, Detail: f.Detail, Status: int32(f.Status), RetryAfter: f.RetryAfter, Sent: f.Sent, Hint: f.Hint}
 	if w.Check() != nil {
 		w.Outcome, w.Status = pollenlatch.OutcomeUnknown, http.StatusBadGateway
 	}
@@ -46,7 +47,7 @@
 }
 
 func (f *failure) fromWire() *pollenlatch.Failure {
-	return &pollenlatch.Failure{Outcome: f.Outcome, Reason: f.Reason, Detail: f.Detail, Status: int(f.Status), RetryAfter: f.RetryAfter, Sent: f.Sent}
+	return &pollenlatch.Failure{Outcome: f.Outcome, Reason: f.Reason, Detail: f.Detail, Status: int(f.Status), RetryAfter: f.RetryAfter, Sent: f.Sent, Hint: f.Hint}
 }
 
 // defaultRetryAfter is the RetryAfter of an unreachable daemon: another attempt may
--- a/outcome.go
+++ b/outcome.go
@@ -76,6 +76,9 @@
 	Sent    bool    `json:"-"` // a byte of the request may have reached a server
 	// RetryAfter is the time after which a retry may succeed; 0 is unknown.
 	RetryAfter time.Duration `json:"-"`
+	// Hint is from the daemon beside the server that failed or refused the request; nil
+	// when it has none.
+	Hint *ServerHint `json:"-"`
 }
 
 func (f *Failure) Error() string {
--- a/request.go
+++ b/request.go
@@ -33,11 +33,12 @@
 	Route       string        `protobuf:"bytes,16,opt,name=route"`
 	ID          string        `protobuf:"bytes,17,opt,name=id"` // identifies the caller's attempt
 	Class       Class         `protobuf:"varint,18,opt,name=class"`
-	MaxAttempts uint32        `protobuf:"varint,19,opt,name=attempts"` // servers that it may be sent to
-	LatencyLeft time.Duration `protobuf:"varint,20,opt,name=target"`   // time left of the latency objective when the head was sent; negative when it has passed
-	Bulk        bool          `protobuf:"varint,21,opt,name=bulk"`     // the response is large
-	Nested      bool          `protobuf:"varint,22,opt,name=inner"`    // sent by a server while it runs another request
-	Retried     bool          `protobuf:"varint,23,opt,name=repeat"`   // it was sent to a server before, or is nested in a request that was
+	MaxAttempts uint32        `protobuf:"varint,19,opt,name=attempts"`  // servers that it may be sent to
+	LatencyLeft time.Duration `protobuf:"varint,20,opt,name=target"`    // time left of the latency objective when the head was sent; negative when it has passed
+	Bulk        bool          `protobuf:"varint,21,opt,name=bulk"`      // the response is large
+	Nested      bool          `protobuf:"varint,22,opt,name=inner"`     // sent by a server while it runs another request
+	Retried     bool          `protobuf:"varint,23,opt,name=repeat"`    // it was sent to a server before, or is nested in a request that was
+	LargeBody   bool          `protobuf:"varint,24,opt,name=largebody"` // the body is large
 }
 
 // Routed reports whether the request matched a Route.
@@ -69,11 +70,12 @@
 
 // ResponseHead is a response of a server without its body.
 type ResponseHead struct {
-	Status    int32    `protobuf:"varint,1,opt,name=status"`
-	Header    []Header `protobuf:"bytes,2,rep,name=header"`
-	Length    int64    `protobuf:"varint,3,opt,name=length"`  // bytes of the body; -1 when unknown
-	OwnerAddr string   `protobuf:"bytes,4,opt,name=owner"`    // address for callers of the daemon that served it
-	Leaving   bool     `protobuf:"varint,5,opt,name=leaving"` // the server is leaving
+	Status    int32       `protobuf:"varint,1,opt,name=status"`
+	Header    []Header    `protobuf:"bytes,2,rep,name=header"`
+	Length    int64       `protobuf:"varint,3,opt,name=length"`  // bytes of the body; -1 when unknown
+	OwnerAddr string      `protobuf:"bytes,4,opt,name=owner"`    // address for callers of the daemon that served it
+	Leaving   bool        `protobuf:"varint,5,opt,name=leaving"` // the server is leaving
+	Hint      *ServerHint `protobuf:"bytes,6,opt,name=hint"`     // from the daemon beside the server; nil when it has none
 }
 
 // Response is a response of a server. Body returns io.EOF only after the complete
--- a/spec.go
+++ b/spec.go
@@ -74,10 +74,12 @@
 	// NumericKeys says that keys are 16-bit numbers and that a range consists of
 	// consecutive keys, instead of a part of the hashed key space.
 	NumericKeys bool          `protobuf:"varint,13,opt,name=numeric" yaml:"-"`
-	Heartbeats  bool          `protobuf:"varint,14,opt,name=beats" yaml:"-"`  // servers receive their grants by heartbeats and check them
-	MaxConns    uint32        `protobuf:"varint,15,opt,name=conns" yaml:"-"`  // connections that a server accepts
-	HealthPath  string        `protobuf:"bytes,16,opt,name=health" yaml:"-"`  // of the servers' health check
-	WarmUp      time.Duration `protobuf:"varint,17,opt,name=warmup" yaml:"-"` // time for which keys are slow after a move without a token
+	Heartbeats  bool          `protobuf:"varint,14,opt,name=beats" yaml:"-"`     // servers receive their grants by heartbeats and check them
+	MaxConns    uint32        `protobuf:"varint,15,opt,name=conns" yaml:"-"`     // connections that a server accepts
+	HealthPath  string        `protobuf:"bytes,16,opt,name=health" yaml:"-"`     // of the servers' health check
+	WarmUp      time.Duration `protobuf:"varint,17,opt,name=warmup" yaml:"-"`    // time for which keys are slow after a move without a token
+	ColdTime    time.Duration `protobuf:"varint,18,opt,name=coldtime" yaml:"-"`  // how long a server is cold after its start; 0 is unknown
+	ColdRate    float64       `protobuf:"fixed64,19,opt,name=coldrate" yaml:"-"` // requests a second that a cold server tolerates; 0 is no limit
 }
 
 // KeyBits is the length of the keys of numeric services, in bits.
--- a/state.go
+++ b/state.go
@@ -20,6 +20,7 @@
 	// Limit is the number of requests a second that the server accepts from all
 	// instances together; 0 is no limit.
 	Limit float64 `protobuf:"fixed64,12,opt,name=limit" json:"limit,omitempty"`
+	Cold  bool    `protobuf:"varint,13,opt,name=cold" json:"cold,omitempty"` // it tolerates Service.ColdRate requests a second only
 }
 
 // MaxSlots is the maximum number of slots that a server may announce.
@@ -40,7 +41,8 @@
 	Incarnation Incarnation `protobuf:"varint,6,opt,name=incarnation" json:"incarnation"`
 	Lease       Lease       `protobuf:"varint,7,opt,name=lease" json:"lease"` // 0 when it has none
 	Endpoint    *Endpoint   `protobuf:"bytes,8,opt,name=endpoint" json:"endpoint,omitempty"`
-	Storage     Incarnation `protobuf:"varint,9,opt,name=storage" json:"storage,omitempty"` // incarnation of its data folder; 0 when it can't vote
+	Storage     Incarnation `protobuf:"varint,9,opt,name=storage" json:"storage,omitempty"`      // incarnation of its data folder; 0 when it can't vote
+	Evacuated   bool        `protobuf:"varint,10,opt,name=evacuated" json:"evacuated,omitempty"` // its data centre is evacuated
 }
 
 // Alive reports whether the instance holds a lease that no log entry has ended.
@@ -48,7 +50,7 @@
 
 // Usable reports whether the instance's endpoint may receive new requests.
 func (i Instance) Usable() bool {
-	return i.Alive() && i.Endpoint != nil && i.Endpoint.Ready && !i.Endpoint.Draining
+	return i.Alive() && !i.Evacuated && i.Endpoint != nil && i.Endpoint.Ready && !i.Endpoint.Draining
 }
 
 // Shard identifies a range of a service, or one hot key when Key is not empty.
