--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -52,6 +52,10 @@
 	// sendRecordsTimeout limits the sending of one shard's idempotency records.
 	// Requests for the shard wait meanwhile.
 	sendRecordsTimeout = time.Second
+	// diskFullRetryInterval is the time between two writes to a full disk. A voter
+	// that can write again catches up within it and a round trip.
+	diskFullRetryInterval = 100 * time.Millisecond
+
 	// shutdownTimeout limits the wait for pending writes when the loop stops. A disk
 	// that takes longer may never complete them, and the process must be able to end.
 	shutdownTimeout = 5 * time.Second
@@ -396,7 +400,7 @@
 func (l *Loop) runWrites() {
 	for p := range l.writes {
 		start := l.Clock.Now()
-		err := l.Disk.Save(p)
+		err := l.save(p)
 		observeSince(l.loopMetrics.sync, l.Clock, start)
 		select {
 		case l.synced <- Synced{Seq: p.Seq, Err: err}:
@@ -405,6 +409,31 @@
 	}
 }
 
+// save writes to the disk. While the disk is full it tries again until it succeeds or
+// the loop stops: the voter serves what needs no disk, and votes once it can write.
+func (l *Loop) save(p quorum.Persist) error {
+	err := l.Disk.Save(p)
+	if !errors.Is(err, quorum.ErrNoSpace) {
+		return err
+	}
+	start := l.Clock.Now()
+	klog.ErrorS(err, "disk is full: this voter does not vote or acknowledge entries until it can write")
+	l.loopMetrics.diskFull.Set(1)
+	defer l.loopMetrics.diskFull.Set(0)
+	retry := time.NewTicker(diskFullRetryInterval)
+	defer retry.Stop()
+	for errors.Is(err, quorum.ErrNoSpace) {
+		select {
+		case <-retry.C:
+			err = l.Disk.Save(p)
+		case <-l.stopped:
+			return err
+		}
+	}
+	klog.InfoS("disk is writable again", "after", l.Clock.Now().Sub(start), "err", err)
+	return err
+}
+
 // extendGrants extends the server's grants, unless another call is waiting. The next
 // renewal extends them further anyway.
 func (l *Loop) extendGrants(e Extend) {
--- a/ctrl/loop_test.go
+++ b/ctrl/loop_test.go
@@ -85,6 +85,41 @@
 	})
 }
 
+// fullDisk refuses writes until a time.
+type fullDisk struct {
+	clock  pollenlatch.Clock
+	until  pollenlatch.MonoTime
+	writes *int
+}
+
+func (d fullDisk) Save(quorum.Persist) error {
+	*d.writes++
+	if d.clock.Now() < d.until {
+		return quorum.ErrNoSpace
+	}
+	return nil
+}
+
+// A voter that ended by itself on a full disk would take the configuration and the
+// leases that it serves with it. It must stay up, acknowledge nothing that is not
+// written, and go on once there is space.
+func TestFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock, writes := pollenlatch.SystemClock{}, 0
+		start := clock.Now()
+		l, _ := newSingleVoterLoop(fullDisk{clock, start.Add(5 * time.Second), &writes}, silentServer{})
+		ctx, cancel := context.WithCancel(t.Context())
+		l.Start(ctx)
+		_, err := l.Submit(t.Context(), testTicket(1, "waits"))
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, clock.Now().Sub(start), 5*time.Second, "acknowledged while the disk was full")
+		require.Greater(t, writes, 10)
+		cancel()
+		<-l.Done()
+		require.NoError(t, l.Err())
+	})
+}
+
 // A server that never responds to grants must not block the control loop. Otherwise
 // the lease would expire and all shards would move.
 func TestUnresponsiveServerDoesNotBlockLoop(t *testing.T) {
--- a/ctrl/metrics.go
+++ b/ctrl/metrics.go
@@ -15,6 +15,7 @@
 	commit        *metrics.Histogram // from a proposal until it is applied, in seconds
 	changedShards *metrics.Counter
 	leaderships   *metrics.Counter
+	diskFull      *metrics.Gauge // 1 while writes fail for lack of space
 	wasLeader     bool
 }
 
@@ -46,6 +47,7 @@
 		commit:        set.GetOrCreateHistogram("pollenlatch_ctrl_commit_seconds"),
 		changedShards: set.GetOrCreateCounter("pollenlatch_ctrl_moved_shards_total"),
 		leaderships:   set.GetOrCreateCounter("pollenlatch_ctrl_leaderships_total"),
+		diskFull:      set.GetOrCreateGauge("pollenlatch_store_disk_full", nil),
 	}
 }
 
--- a/quorum/disk.go
+++ b/quorum/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"pollenlatch"
 )
@@ -10,13 +11,14 @@
 // Persist is in flight. Later changes are collected for the next one, so that one
 // sync covers many proposals.
 type diskState struct {
-	emittedSeq      uint64   // of the last Persist emitted
-	completedSeq    uint64   // of the last Persist that was reported as complete
-	emittedIndex    uint64   // last entry that was part of a Persist
-	syncedIndex     uint64   // last entry that is synced
-	inflightIndex   uint64   // last entry that the Persist in flight covers
-	inflightCounted []string // HardState.CountedVoters in the Persist in flight
-	syncedCounted   []string // HardState.CountedVoters that are synced
+	emittedSeq      uint64               // of the last Persist emitted
+	emittedAt       pollenlatch.MonoTime // when the last Persist was emitted
+	completedSeq    uint64               // of the last Persist that was reported as complete
+	emittedIndex    uint64               // last entry that was part of a Persist
+	syncedIndex     uint64               // last entry that is synced
+	inflightIndex   uint64               // last entry that the Persist in flight covers
+	inflightCounted []string             // HardState.CountedVoters in the Persist in flight
+	syncedCounted   []string             // HardState.CountedVoters that are synced
 
 	hardStateChanged bool          // since the last Persist
 	hardStateSeq     uint64        // of the last Persist with a changed HardState
@@ -26,6 +28,16 @@
 	delayed          []delayedSend // waiting for a Persist
 }
 
+// maxPersistTime is how long a Persist may take before a leader steps down and a
+// follower stops campaigning. A slow disk takes tens of milliseconds for a sync; a full
+// or stalled one takes seconds, in which a leader could not acknowledge anything.
+const maxPersistTime = time.Second
+
+// blocked reports whether the Persist in flight takes longer than maxPersistTime.
+func (d *diskState) blocked(now pollenlatch.MonoTime) bool {
+	return d.completedSeq < d.emittedSeq && now.Sub(d.emittedAt) >= maxPersistTime
+}
+
 // delayedSend is a message that must not be sent before a Persist is complete.
 type delayedSend struct {
 	seq  uint64 // of the Persist
@@ -101,6 +113,7 @@
 		return
 	}
 	d.emittedSeq++
+	d.emittedAt = r.now
 	if d.hardStateChanged {
 		d.hardStateSeq = d.emittedSeq
 	}
--- a/quorum/event.go
+++ b/quorum/event.go
@@ -5,6 +5,7 @@
 package quorum
 
 import (
+	"errors"
 	"time"
 
 	"pollenlatch"
@@ -44,6 +45,11 @@
 	Data    []byte               `protobuf:"bytes,4,opt,name=data"`
 }
 
+// ErrNoSpace is the error of a Persist that could not be written because the disk is
+// full. Nothing that was synced before is affected, and the same Persist may be saved
+// again once there is space.
+var ErrNoSpace = errors.New("no space left for the log")
+
 // Event is one of the types below.
 type Event interface{ event() }
 
--- a/quorum/failure_test.go
+++ b/quorum/failure_test.go
@@ -90,6 +90,34 @@
 	}
 }
 
+// A leader whose disk is full or stalled cannot commit anything. It must leave the
+// leadership to another voter, and not campaign again before it can write.
+func TestLeaderWithBlockedDisk(t *testing.T) {
+	for seed := range uint64(10) {
+		s, l := newStableSim(t, 5, seed)
+		s.run(20)
+		s.nodes[l].diskStalledUntil = s.now + time.Hour
+		s.propose(l, 100)
+		for range 1000 {
+			s.run(1)
+			if s.nodes[l].r.role != leader {
+				break
+			}
+		}
+		next := s.waitForLeader(t)
+		require.NotEqual(t, l, next)
+		commit := s.nodes[next].r.CommitIndex()
+		for range 300 {
+			s.propose(next, 100)
+			s.run(1)
+			require.NotEqual(t, preCandidate, s.nodes[l].r.role)
+		}
+		require.Greater(t, s.nodes[next].r.CommitIndex(), commit)
+		s.nodes[l].diskStalledUntil = 0
+		s.converge()
+	}
+}
+
 // If a replaced voter counted before it has replicated the log, the loss of the next
 // voter could lose acknowledged entries. Of 5 voters, two are down at the same time.
 func TestSecondVoterLostAfterRepair(t *testing.T) {
--- a/quorum/lead.go
+++ b/quorum/lead.go
@@ -106,7 +106,8 @@
 }
 
 func (r *Replica) tickLeader() {
-	if r.now.Sub(r.majorityContactAt()) >= 2*r.cfg.MinElectionTimeout {
+	diskBlocked := r.disk.blocked(r.now) && !r.isOnlyVoter()
+	if diskBlocked || r.now.Sub(r.majorityContactAt()) >= 2*r.cfg.MinElectionTimeout {
 		r.becomeFollower("")
 		r.resetElectionDeadline()
 		return
--- a/quorum/replica.go
+++ b/quorum/replica.go
@@ -170,7 +170,7 @@
 		r.retryAdmission()
 		return
 	}
-	if r.now >= r.electionDeadline && r.mayCampaign() {
+	if r.now >= r.electionDeadline && r.mayCampaign() && !r.disk.blocked(r.now) {
 		r.startPreVote()
 	}
 }
--- a/store/identity.go
+++ b/store/identity.go
@@ -106,11 +106,11 @@
 	}
 	f, err := folder.Create(temporaryName)
 	if err != nil {
-		return err
+		return noSpace(err)
 	}
 	if _, err := f.Write(content); err != nil {
 		_ = f.Close()
-		return err
+		return noSpace(err)
 	}
 	if err := f.Sync(); err != nil {
 		_ = f.Close()
