--- a/ctrl/control.go
+++ b/ctrl/control.go
@@ -79,6 +79,9 @@
 	return c.changed
 }
 
+// HasLease reports whether the lease is valid.
+func (c *Control) HasLease() bool { return c.now() < c.LeaseEnd() }
+
 // Serving returns nil while the lease is valid, or while AllowStale applies.
 func (c *Control) Serving() error {
 	return c.serving(c.Access())
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -122,6 +122,7 @@
 	frontCfg := front.Config{Control: &d.control, Handler: d.gate.Wrap(router), Metrics: d.metrics, Front: d.cfg.Front, Headers: headers}
 	if p := d.cfg.Platform; p != nil {
 		frontCfg.LocalService, frontCfg.IdleTimeout, frontCfg.Pacer, frontCfg.LookupNested = p.LocalService, callerIdleTimeout, pacer, d.serve.IsNested
+		frontCfg.ConfigCurrent = d.control.HasLease
 	} else {
 		frontCfg.Recorder = &d.events
 	}
--- a/front/parse_routed.go
+++ b/front/parse_routed.go
@@ -32,6 +32,12 @@
 	}
 	path, _, _ := strings.Cut(uri, "?")
 	route, ok := config.Route(hostOf(r), path)
+	if !ok && s.cfg.ConfigCurrent != nil && !s.cfg.ConfigCurrent() {
+		// The route may have been added meanwhile, and callers do not retry after 404.
+		f := notRunFailure(pollenlatch.ReasonNoConfig, http.StatusServiceUnavailable, "no route for host %q and path %q, and the configuration of this instance may be outdated", r.Host, path)
+		f.RetryAfter = defaultRetryAfter
+		return nil, f
+	}
 	if !ok {
 		return nil, notRunFailure(pollenlatch.ReasonNoRoute, http.StatusNotFound, "no route for host %q and path %q", r.Host, path)
 	}
--- a/front/parse_routed_test.go
+++ b/front/parse_routed_test.go
@@ -127,6 +127,24 @@
 	}
 }
 
+// A daemon that has lost the voters does not know of routes that were added since.
+// Callers do not retry after 404, so it must not answer that.
+func TestParseRoutedWithOutdatedConfig(t *testing.T) {
+	s, _ := newRoutedServer(t)
+	current := false
+	s.cfg.ConfigCurrent = func() bool { return current }
+	r := newRoutedRequest(map[string]string{"Id": "i"})
+	_, f := s.parseRouted(r, time.Now())
+	require.Nil(t, f, "known routes are served meanwhile")
+	r.Host = "b.example"
+	_, f = s.parseRouted(r, time.Now())
+	require.Equal(t, http.StatusServiceUnavailable, f.Status)
+	require.NotZero(t, f.RetryAfter)
+	current = true
+	_, f = s.parseRouted(r, time.Now())
+	require.Equal(t, http.StatusNotFound, f.Status)
+}
+
 // A caller must not be able to extend the timeout of the route.
 func TestRoutedTimeout(t *testing.T) {
 	s, _ := newRoutedServer(t)
--- a/front/server.go
+++ b/front/server.go
@@ -50,6 +50,9 @@
 	// request that the local server runs, and whether that request is a retry.
 	// nil treats no request as nested.
 	LookupNested func(id string) (nested, retried bool)
+	// ConfigCurrent reports whether this daemon has a lease, and so has heard of the
+	// newest configuration; nil is always.
+	ConfigCurrent func() bool
 	// Pacer paces large responses to callers on this instance's network link;
 	// nil does not.
 	Pacer pollenlatch.Pacer
--- a/link/control.go
+++ b/link/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,12 @@
 	// bulkTimeoutFactor times ControlWriteTimeout is the write timeout of the bulk
 	// lane, because a peer that is processing a snapshot reads slowly.
 	bulkTimeoutFactor = 8
+	// saturatedDialFactor times DialTimeout is the timeout of a dial after one that has
+	// timed out. On a saturated network link packets wait for up to half a second each
+	// way, and without a control link the daemon keeps an outdated configuration. Only
+	// every second dial waits for so long, since a dial to an instance that was cut off
+	// does not notice when it returns.
+	saturatedDialFactor = 5
 
 	minRedialInterval = 10 * time.Millisecond
 	maxRedialInterval = 250 * time.Millisecond
@@ -131,11 +138,12 @@
 	lastSend atomic.Int64 // Unix nanoseconds of the last Send
 	queues   [numLanes]queue
 
-	mu         sync.Mutex // held while dialling
-	session    *controlSession
-	backoff    *backoff.ExponentialBackOff
-	nextDial   time.Time // earliest time of the next dial
-	dialFailed bool      // the last dial failed
+	mu           sync.Mutex // held while dialling
+	session      *controlSession
+	backoff      *backoff.ExponentialBackOff
+	nextDial     time.Time // earliest time of the next dial
+	dialFailed   bool      // the last dial failed
+	dialTimedOut bool      // the last dial timed out after DialTimeout
 }
 
 // sendQueued sends the queued frames of a lane, and first connects if necessary.
@@ -197,7 +205,12 @@
 }
 
 func (p *outboundPeer) open() (*controlSession, error) {
-	h, y, err := p.node.dial(p.node.ctx, p.addr, purposeControl)
+	timeout := p.node.cfg.DialTimeout
+	if p.dialTimedOut {
+		timeout *= saturatedDialFactor
+	}
+	h, y, err := p.node.dial(p.node.ctx, p.addr, purposeControl, timeout)
+	p.dialTimedOut = !p.dialTimedOut && errors.Is(err, context.DeadlineExceeded)
 	if err != nil {
 		return nil, err
 	}
--- a/link/malformed_test.go
+++ b/link/malformed_test.go
@@ -147,7 +147,7 @@
 				}
 				return nil, unreachable("x")
 			})
-			_, mux, err := client.dial(t.Context(), addr, purposeRequests)
+			_, mux, err := client.dial(t.Context(), addr, purposeRequests, client.cfg.DialTimeout)
 			require.NoError(t, err)
 			defer func() { _ = mux.Close() }()
 			var y *yamux.Stream
@@ -232,7 +232,7 @@
 				c.ControlHandler = func(Peer, *pollenlatch.Message) { t.Error("the handler was called") }
 			})
 			client, _ := testNode(t, "a", nil)
-			_, mux, err := client.dial(t.Context(), addr, purposeControl)
+			_, mux, err := client.dial(t.Context(), addr, purposeControl, client.cfg.DialTimeout)
 			require.NoError(t, err)
 			for range numLanes {
 				y, err := mux.OpenStream()
--- a/link/node.go
+++ b/link/node.go
@@ -214,8 +214,8 @@
 }
 
 // dial connects to another daemon and opens a session.
-func (n *Node) dial(ctx context.Context, addr string, p sessionPurpose) (*hello, *muxSession, error) {
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.DialTimeout)
+func (n *Node) dial(ctx context.Context, addr string, p sessionPurpose, timeout time.Duration) (*hello, *muxSession, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := n.cfg.Dial(ctx, addr)
 	if err != nil {
--- a/link/pool.go
+++ b/link/pool.go
@@ -231,7 +231,7 @@
 }
 
 func (s *outboundSession) dial() error {
-	_, mux, err := s.node.dial(s.node.ctx, s.addr, purposeRequests)
+	_, mux, err := s.node.dial(s.node.ctx, s.addr, purposeRequests, s.node.cfg.DialTimeout)
 	if err != nil {
 		return err
 	}
--- a/link/timeout_test.go
+++ b/link/timeout_test.go
@@ -67,6 +67,30 @@
 	})
 }
 
+// On a saturated network link a connection takes up to a second to open. A daemon that
+// gives up each time before that has no control link, and serves by an outdated
+// configuration for as long as its link is full.
+func TestControlOverSaturatedLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var opened atomic.Bool
+		n := nodeWithDial(t, func(ctx context.Context) (net.Conn, error) {
+			select {
+			case <-time.After(time.Second):
+				opened.Store(true)
+				return nil, errors.New("connected")
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		})
+		for range 40 {
+			n.Send("x", renew(1))
+			<-time.After(100 * time.Millisecond)
+		}
+		require.True(t, opened.Load())
+		require.NoError(t, n.Close())
+	})
+}
+
 // A peer that connects and sends nothing must not keep its connection.
 func TestHandshakeTimesOut(t *testing.T) {
 	for name, dialled := range map[string]bool{"dialling": true, "accepting": false} {
