--- a/beat/beat.go
+++ b/beat/beat.go
@@ -447,9 +447,10 @@
 	return n
 }
 
-// limitSize reduces the key ranges of a reply to maxBytes. It omits tokens first,
-// and then key ranges that the server does not hold yet. Omitting one that the
-// server holds would revoke it.
+// limitSize reduces the key ranges of a reply, sorted by key, to maxBytes. It omits
+// tokens first, which lets neighbours with different tokens share a row, and then key
+// ranges that the server does not hold yet. Omitting one that the server holds would
+// revoke it.
 func limitSize(ranges []pollenlatch.KeyRange, maxBytes int, isHeld func(pollenlatch.KeyRange) bool) []pollenlatch.KeyRange {
 	total, tokenBytes := 0, 0
 	for _, r := range ranges {
@@ -462,6 +463,10 @@
 	for n := range ranges {
 		ranges[n].Token = ""
 	}
+	ranges, total = mergeAdjacent(ranges), 0
+	for _, r := range ranges {
+		total += encodedBytes(r)
+	}
 	return slices.DeleteFunc(ranges, func(r pollenlatch.KeyRange) bool {
 		if total <= maxBytes || isHeld(r) {
 			return false
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -1,6 +1,7 @@
 package beat
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -519,6 +520,33 @@
 	require.False(t, hasGrant(1), "the grants have expired")
 }
 
+// Neighbouring ranges that were released with different tokens take a row each, more
+// than a reply holds. Without their tokens they must share rows: otherwise the rows that
+// the server holds fill every later reply, and it never gets the rest of its ranges.
+func TestLimitSizeMergesNeighbours(t *testing.T) {
+	const maxBytes = 4 << 10
+	held := make(map[uint32]bool)
+	for reply := range 3 {
+		var ranges []pollenlatch.KeyRange
+		for n := range uint32(1024) {
+			kr := pollenlatch.KeyRange{First: 64 * n, Last: 64*n + 63, Fence: pollenlatch.Fence(1000 + n)}
+			if !held[kr.First] {
+				kr.Token = fmt.Sprintf("%016x", n)
+			}
+			ranges = append(ranges, kr)
+		}
+		got := limitSize(mergeAdjacent(ranges), maxBytes, func(kr pollenlatch.KeyRange) bool { return held[kr.First] })
+		keys := uint32(0)
+		for _, kr := range got {
+			keys += kr.Last - kr.First + 1
+			for first := kr.First; first < kr.Last; first += 64 {
+				held[first] = true
+			}
+		}
+		require.EqualValues(t, 1<<16, keys, "reply %d", reply)
+	}
+}
+
 // The size of a reply is limited. Key ranges that the server holds must not be
 // omitted for that, since the server would release them.
 func TestLimitSize(t *testing.T) {
