--- a/admit/limit_test.go
+++ b/admit/limit_test.go
@@ -20,6 +20,7 @@
 	*harness
 	starts  []time.Time
 	refused int
+	nested  bool // the next request is nested
 }
 
 func newLimitRun(t *testing.T) *limitRun {
@@ -33,7 +34,7 @@
 // send offers one request and records when it starts.
 func (r *limitRun) send(class pollenlatch.Class) *testRequest {
 	req := &testRequest{request: &request{AdmitRequest: pollenlatch.AdmitRequest{
-		Route: "r", Class: class, SoftDeadline: r.now.Add(200 * time.Millisecond), Deadline: r.now.Add(800 * time.Millisecond),
+		Route: "r", Class: class, SoftDeadline: r.now.Add(200 * time.Millisecond), Deadline: r.now.Add(800 * time.Millisecond), Nested: r.nested,
 	}}}
 	req.onDecision = func(f *pollenlatch.Failure) {
 		if req.refused = f; f != nil {
@@ -59,14 +60,19 @@
 
 func (r *limitRun) requireLimit() {
 	r.t.Helper()
+	require.LessOrEqual(r.t, float64(busiest(r.starts, limitWindow)), 1.5*testLimit*limitWindow.Seconds()+5)
+}
+
+// busiest returns the highest number of times within any window.
+func busiest(sent []time.Time, window time.Duration) int {
 	first, most := 0, 0
-	for n := range r.starts {
-		for r.starts[n].Sub(r.starts[first]) >= limitWindow {
+	for n := range sent {
+		for sent[n].Sub(sent[first]) >= window {
 			first++
 		}
 		most = max(most, n-first+1)
 	}
-	require.LessOrEqual(r.t, float64(most), 1.5*testLimit*limitWindow.Seconds()+5)
+	return most
 }
 
 // A server must not get more requests than its limit from all instances together. The
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollenlatch"
+	"pollenlatch/cold"
 	"pollenlatch/quota"
 )
 
@@ -101,6 +102,9 @@
 type schedule struct {
 	slots        int
 	limiter      quota.Limiter     // of the requests that the server accepts
+	cold         cold.Limiter      // of the requests that the server gets while it is cold
+	coldDelayed  uint64            // requests that waited for the limit of a cold server
+	coldRefused  uint64            // requests that were refused because of it
 	pacer        pollenlatch.Pacer // of large responses; nil is an unlimited link
 	running      map[*request]struct{}
 	waiting      []*request
@@ -158,7 +162,7 @@
 // paced, that the offered load leaves free.
 func (s *schedule) spareShare(r *request) float64 {
 	left := 1 - s.offeredSlots/float64(s.slots)
-	if limit := s.limiter.Limit(); limit > 0 {
+	if limit := s.limit(); limit > 0 {
 		left = min(left, 1-s.arrivalRate/limit)
 	}
 	if r.sendTime > 0 {
@@ -167,6 +171,22 @@
 	return max(minSpareShare, left)
 }
 
+// limit returns the number of requests a second that the server may get, or 0 without a
+// limit.
+func (s *schedule) limit() float64 {
+	limit, coldLimit := s.limiter.Limit(), s.cold.Limit()
+	if limit == 0 || (coldLimit > 0 && coldLimit < limit) {
+		return coldLimit
+	}
+	return limit
+}
+
+// limitWait returns the time until the limits allow the n-th request from now, counted
+// from 1.
+func (s *schedule) limitWait(n int, now time.Time) time.Duration {
+	return max(s.limiter.Wait(n, now), s.cold.Wait(n, now))
+}
+
 // completionInterval returns the typical time between two completions while all
 // slots are occupied.
 func (s *schedule) completionInterval(now time.Time) time.Duration {
@@ -183,7 +203,7 @@
 // estimateStart returns when a request is likely to start.
 func (s *schedule) estimateStart(r *request, now time.Time) time.Time {
 	if len(s.running) < s.slots && len(s.waiting) == 0 {
-		return now.Add(s.limiter.Wait(1, now))
+		return now.Add(s.limitWait(1, now))
 	}
 	var ahead time.Duration
 	first := 1 // position of the request in the queue
@@ -193,16 +213,22 @@
 			first++
 		}
 	}
-	return now.Add(max(s.completionInterval(now)+ahead/time.Duration(s.slots), s.limiter.Wait(first, now)))
+	return now.Add(max(s.completionInterval(now)+ahead/time.Duration(s.slots), s.limitWait(first, now)))
+}
+
+// delayedByCold reports whether the limit of a cold server, and not a lack of slots,
+// delays the waiting requests.
+func (s *schedule) delayedByCold(now time.Time) bool {
+	return len(s.running) < s.slots && s.cold.Wait(len(s.waiting)+1, now) > 0
 }
 
 // limitDelay returns the time until the limit of the server allows a waiting request
 // that has a free slot. delayed is false when there is none.
 func (s *schedule) limitDelay(now time.Time) (d time.Duration, delayed bool) {
-	if s.limiter.Limit() == 0 || len(s.waiting) == 0 || len(s.running) >= s.slots {
+	if s.limit() == 0 || len(s.waiting) == 0 || len(s.running) >= s.slots {
 		return 0, false
 	}
-	return s.limiter.Wait(1, now), true
+	return s.limitWait(1, now), true
 }
 
 // estimateDelivery returns when the response to a request that begins to run at
@@ -242,6 +268,9 @@
 	if f := s.checkDeadlines(r, s.estimateDelivery(r, start, now), now); f != nil {
 		return f
 	}
+	if s.delayedByCold(now) {
+		s.coldDelayed++
+	}
 	s.waiting = append(s.waiting, r)
 	s.startWaiting(now)
 	s.refuseOverdue(now)
@@ -273,20 +302,27 @@
 	left := r.Deadline.Sub(now)
 	f := notRun(pollenlatch.ReasonOverloaded, statusUnavailable, fmt.Sprintf(
 		"%s: expected wait %d ms, typical run and transfer %d ms, %d ms left; %d of %d slots occupied, %d waiting, offered load %.1f slots and %.1f of the link, limit %.1f/s",
-		detail, wait.Milliseconds(), (r.runTime+r.sendTime).Milliseconds(), left.Milliseconds(), len(s.running), s.slots, len(s.waiting), s.offeredSlots, s.offeredLink, s.limiter.Limit(),
+		detail, wait.Milliseconds(), (r.runTime+r.sendTime).Milliseconds(), left.Milliseconds(), len(s.running), s.slots, len(s.waiting), s.offeredSlots, s.offeredLink, s.limit(),
 	))
 	f.RetryAfter = max(minRetryAfter, min(wait, time.Duration(maxRetryAfterShare*float64(left))))
+	if s.delayedByCold(now) {
+		s.coldRefused++
+		// The next request after those that wait is sent then. An earlier attempt is in
+		// vain.
+		f.RetryAfter = max(minRetryAfter, s.cold.Wait(len(s.waiting)+1, now))
+	}
 	return f
 }
 
 // startWaiting starts waiting requests while there are free slots.
 func (s *schedule) startWaiting(now time.Time) {
-	for len(s.running) < s.slots && s.limiter.Wait(1, now) == 0 {
+	for len(s.running) < s.slots && s.limitWait(1, now) == 0 {
 		r := s.popNext(now)
 		if r == nil {
 			return
 		}
 		s.limiter.Take(now)
+		s.cold.Take(now)
 		r.started = now
 		s.running[r] = struct{}{}
 		r.onDecision(nil)
@@ -342,7 +378,7 @@
 	kept := s.waiting[:0]
 	var overdue []*request
 	for _, r := range s.waiting {
-		start := later(free.Add(ahead/time.Duration(s.slots)), now.Add(s.limiter.Wait(len(kept)+1, now)))
+		start := later(free.Add(ahead/time.Duration(s.slots)), now.Add(s.limitWait(len(kept)+1, now)))
 		if start.Add(time.Duration(minRunShare * float64(r.runTime))).After(r.Deadline) {
 			overdue = append(overdue, r)
 			continue
@@ -353,7 +389,7 @@
 	clear(s.waiting[len(kept):])
 	s.waiting = kept
 	for _, r := range overdue {
-		wait := max(free.Sub(now)+ahead/time.Duration(s.slots), s.limiter.Wait(len(kept)+1, now))
+		wait := max(free.Sub(now)+ahead/time.Duration(s.slots), s.limitWait(len(kept)+1, now))
 		r.onDecision(s.refusal(r, wait, now, "more urgent requests arrived"))
 	}
 }
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -66,6 +66,28 @@
 	s.setWake(now)
 }
 
+// SetColdLimit sets how many requests a second a server gets while it is cold, whether
+// it is cold, and when that is expected to end; zero is unknown. Requests that were sent
+// to it in the last second before it becomes cold count. perSecond 0 is no limit. Both
+// this limit and that of SetLimit apply.
+func (s *Scheduler) SetColdLimit(perSecond float64, cold bool, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.sched.cold.SetLimit(perSecond, cold, until, now)
+	s.sched.startWaiting(now)
+	s.sched.refuseOverdue(now)
+	s.setWake(now)
+}
+
+// ColdStats returns how many requests have waited for the limit of a cold server, and
+// how many were refused because of it.
+func (s *Scheduler) ColdStats() (delayed, refused uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.coldDelayed, s.sched.coldRefused
+}
+
 // setWake schedules the next start of a waiting request that the limit delays. The
 // caller holds mu.
 func (s *Scheduler) setWake(now time.Time) {
