--- a/interfaces.go
+++ b/interfaces.go
@@ -77,6 +77,9 @@
 	// show whether there is a limit when Limit is 0.
 	SentAt time.Time
 	Load   *ServerLoad // nil when the response does not state it
+	// ColdFor is the time for which the server stays cold; nil when the response does
+	// not state it.
+	ColdFor *time.Duration
 }
 
 // Granter sends grants to the local server.
--- /dev/null
+++ b/relay/health_test.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// What a health check says of the cold state must be taken from the server itself and
+// from valid values only. Anything else must neither end nor start the limit.
+func TestCheckHealth(t *testing.T) {
+	millis := func(n int) *time.Duration { d := time.Duration(n) * time.Millisecond; return &d }
+	head := func(status, headers string) string {
+		return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: 2\r\n\r\nok"
+	}
+	for _, tt := range []struct {
+		name, response string
+		want           *time.Duration
+		fails          bool
+	}{
+		{"cold", head("200 OK", "Cold: 2900\r\n"), millis(2900), false},
+		{"warm", head("200 OK", "Cold: 0\r\n"), millis(0), false},
+		{"not ready but cold", head("503 X", "Cold: 2900\r\n"), millis(2900), false},
+		{"not stated", head("200 OK", ""), nil, false},
+		{"negative", head("200 OK", "Cold: -1\r\n"), nil, false},
+		{"no number", head("200 OK", "Cold: soon\r\n"), nil, false},
+		{"too large", head("200 OK", "Cold: 99999999999\r\n"), nil, false},
+		{"of another server", head("200 OK", "Server: s9\r\nCold: 0\r\n"), nil, true},
+		{"invalid status", head("999 X", "Cold: 0\r\n"), nil, true},
+		{"no response", "", nil, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fakeServer{handle: respondAndClose(tt.response)}
+			relay := f.newPlatformRelay(t)
+			signals, err := relay.CheckHealth(t.Context(), "/healthz")
+			require.Equal(t, tt.fails, err != nil, "%v", err)
+			require.Equal(t, tt.want, signals.ColdFor)
+		})
+	}
+}
--- a/relay/platform.go
+++ b/relay/platform.go
@@ -113,6 +113,7 @@
 	signals := pollenlatch.ServerSignals{Incarnation: x.conn.incarnation, Leaving: isLeaving(names, h)}
 	if signed {
 		signals.SentAt = x.sentAt
+		signals.ColdFor = x.relay.coldFor(x.conn, h)
 	}
 	if v := h.Peek(names.Limit); len(v) > 0 {
 		var err error
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,7 @@
 	cfg          Config
 	pool         pool
 	invalidLimit sync.Once // logs the first invalid limit
+	invalidCold  sync.Once // logs the first invalid cold state
 }
 
 // DefaultMaxResponseBytes is as large as the largest request body. A server in trouble
