--- a/place/balance.go
+++ b/place/balance.go
@@ -72,7 +72,9 @@
 	})
 	for _, s := range byExcess {
 		noise := noiseDeviations * s.utilisation() / math.Sqrt(2*max(1, s.offered/s.runTime)*reportWindow.Seconds())
-		if s.utilisation() < overloadUtilisation || s.utilisation() < mean+overloadExcess+noise {
+		// The keys of a cold server stay: it is warm again sooner than they would be
+		// elsewhere.
+		if s.cold || s.utilisation() < overloadUtilisation || s.utilisation() < mean+overloadExcess+noise {
 			continue
 		}
 		overloaded[s.id] = true
@@ -182,7 +184,7 @@
 	relieved := from.excess(from.offered) - from.excess(from.offered-load)
 	cost := load * moveDelay.Seconds() / balanceHorizon.Seconds()
 	for _, candidate := range r.servers {
-		if candidate == from || candidate.keyRanges >= maxKeyRanges {
+		if candidate == from || candidate.cold || candidate.keyRanges >= maxKeyRanges {
 			continue
 		}
 		added := candidate.excess(candidate.offered+rate*candidate.runTime) - candidate.excess(candidate.offered)
--- a/place/place.go
+++ b/place/place.go
@@ -104,6 +104,7 @@
 	incarnation pollenlatch.Incarnation
 	slots       float64 // that it can use, within its limit
 	limit       float64 // requests a second that it accepts; 0 is no limit
+	cold        bool    // it gets no further ranges while others can take them
 	quota       float64 // its share of the ranges, in proportion to its slots
 	numRanges   int     // ranges that it owns or will own after a hand-over
 	keyRanges   int     // runs of neighbouring ranges among them
@@ -162,7 +163,7 @@
 		if !i.Usable() {
 			continue
 		}
-		s := &server{id: i.ID, incarnation: i.Endpoint.Incarnation, slots: float64(max(i.Endpoint.Slots, 1)), limit: i.Endpoint.Limit}
+		s := &server{id: i.ID, incarnation: i.Endpoint.Incarnation, slots: float64(max(i.Endpoint.Slots, 1)), limit: i.Endpoint.Limit, cold: i.Endpoint.Cold}
 		if l, ok := in.Loads[i.ID]; ok {
 			s.reported, s.runTime = true, state.updateRunTime(i.ID, l)
 		}
@@ -302,24 +303,34 @@
 			to.keyRanges++
 		}
 		target := to
-		if previous, ok := r.byID[o.Previous]; ok && float64(previous.numRanges) < previous.quota {
+		if previous, ok := r.byID[o.Previous]; ok && float64(previous.numRanges) < previous.quota && (!previous.cold || target.cold) {
 			target, reason = previous, reasonReturned
 		}
 		if o.Previous == 0 {
 			reason = reasonUnassigned
 		}
 		target.addRange(r.rates[o.Range])
-		r.state.joined[target.id] = target.incarnation
+		if !target.cold {
+			r.state.joined[target.id] = target.incarnation
+		}
 		r.moves = append(r.moves, pollenlatch.Move{Shard: o.Shard, To: target.id, Fence: o.Fence, Reason: reason})
 	}
 }
 
 // cheapestServer returns the server that should get the next range. A server whose
-// grants fill the reply to a heartbeat gets more only when all servers are full.
+// grants fill the reply to a heartbeat gets more only when all servers are full, and a
+// cold server only when the others are overloaded.
 func (r *round) cheapestServer() *server {
 	overflow := func(s *server) int { return s.keyRanges / maxKeyRanges }
+	avoidCold := slices.ContainsFunc(r.servers, func(s *server) bool { return !s.cold && overflow(s) == 0 && s.utilisation() < 1 })
+	avoided := func(s *server) int {
+		if s.cold && avoidCold {
+			return 1
+		}
+		return 0
+	}
 	return slices.MinFunc(r.servers, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(overflow(a), overflow(b)), cmp.Compare(a.placementCost(), b.placementCost()), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(avoided(a), avoided(b)), cmp.Compare(overflow(a), overflow(b)), cmp.Compare(a.placementCost(), b.placementCost()), cmp.Compare(a.id, b.id))
 	})
 }
 
@@ -355,6 +366,9 @@
 		if r.state.joined[to.id] == to.incarnation && to.numRanges > 0 {
 			continue
 		}
+		if to.cold {
+			continue // it gets its quota once it is warm
+		}
 		r.state.joined[to.id] = to.incarnation
 		if deficit := to.quota - float64(to.numRanges); deficit < max(minJoinDeficit*to.quota, 1) {
 			continue
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -313,3 +313,70 @@
 	}
 	require.Less(t, maxOther, overloadUtilisation)
 }
+
+// A cold server that gets further ranges refuses most of their requests. Its own ranges
+// must stay, and it must get its share once it is warm. When all servers are cold, or the
+// others are full, ranges must still have an owner.
+func TestColdServer(t *testing.T) {
+	lose := func(d *deployment, id pollenlatch.InstanceID) {
+		for n := range d.owners {
+			if d.owners[n].Instance == id {
+				d.owners[n].Previous, d.owners[n].Instance = id, 0
+			}
+		}
+	}
+	t.Run("turns cold", func(t *testing.T) {
+		d := newDeployment(t, 4)
+		d.planOnce()
+		for n := range d.owners {
+			d.rates[pollenlatch.Range(n)] = 0.5
+			if d.owners[n].Instance == 2 {
+				d.rates[pollenlatch.Range(n)] = 3.5 // utilisation 1.4
+			}
+		}
+		d.servers[1].Endpoint.Cold = true
+		require.Zero(t, d.planFor(5*time.Second), "its ranges move")
+	})
+	t.Run("is not a target", func(t *testing.T) {
+		d := newDeployment(t, 4)
+		d.planOnce()
+		d.servers[1].Endpoint.Cold = true
+		owned := d.rangeCounts()[2]
+		d.servers[2].Endpoint.Draining = true
+		require.NotEmpty(t, d.planOnce())
+		require.Equal(t, owned, d.rangeCounts()[2])
+	})
+	t.Run("restarts cold", func(t *testing.T) {
+		d := newDeployment(t, 4)
+		d.planOnce()
+		lose(d, 2)
+		d.servers[1].Endpoint.Cold, d.servers[1].Endpoint.Incarnation = true, 102
+		for _, m := range d.planOnce() {
+			require.NotEqualValues(t, 2, m.To)
+		}
+		require.Zero(t, d.planFor(3*time.Second))
+		d.servers[1].Endpoint.Cold = false
+		d.planFor(5 * time.Second)
+		require.InDelta(t, d.svc.NumRanges()/4, d.rangeCounts()[2], rangesPerGroup)
+	})
+	t.Run("all are cold", func(t *testing.T) {
+		d := newDeployment(t, 2)
+		d.servers[0].Endpoint.Cold, d.servers[1].Endpoint.Cold = true, true
+		require.Len(t, d.planOnce(), d.svc.NumRanges())
+		for id, n := range d.rangeCounts() {
+			require.Equal(t, d.svc.NumRanges()/2, n, "server %d", id)
+		}
+	})
+	t.Run("the others are full", func(t *testing.T) {
+		d := newDeployment(t, 2)
+		d.planOnce()
+		for n := range d.owners {
+			d.rates[pollenlatch.Range(n)] = 2.5 // utilisation 2 of each server
+		}
+		id := d.addServer()
+		d.servers[id-1].Endpoint.Cold = true
+		d.servers[0].Endpoint.Draining = true
+		require.NotEmpty(t, d.planOnce())
+		require.Positive(t, d.rangeCounts()[id])
+	})
+}
