--- a/pick/picker.go
+++ b/pick/picker.go
@@ -19,6 +19,11 @@
 	// coldShare is the share of its full traffic that an endpoint gets at the
 	// beginning of its warm-up.
 	coldShare = 0.1
+	// minLimitedShare is the minimum share of its full traffic that an endpoint gets
+	// whose server is cold, and limitedLatency is the latency that is assumed for it
+	// before its first response.
+	minLimitedShare = 0.02
+	limitedLatency  = 100 * time.Millisecond
 	// latencyWindow is the time over which the latency of an endpoint is
 	// averaged. minLatencyWeight and maxLatencyWeight limit the weight of one
 	// response in the average.
@@ -73,6 +78,9 @@
 	// LocalServer returns the ID of this instance and the number of free slots
 	// of its local server; nil means that there is no local server.
 	LocalServer func() (id pollenlatch.InstanceID, free int)
+	// ColdRate returns how many requests a second a cold server of a service gets; 0
+	// is no limit. nil: no service has a limit.
+	ColdRate func(service string) float64
 }
 
 // Picker implements pollenlatch.Picker with statistics of this daemon alone. It
@@ -135,7 +143,8 @@
 	overloadedUntil pollenlatch.MonoTime // it refused a request because of overload
 	coldUntil       pollenlatch.MonoTime // end of the warm-up
 	ejectedUntil    pollenlatch.MonoTime
-	ejections       int // ejections in a row
+	ejections       int     // ejections in a row
+	coldRate        float64 // requests a second that the server gets while it is cold; 0 when it is not
 }
 
 // Pick implements pollenlatch.Picker.
@@ -169,7 +178,7 @@
 	var earliestReturn, local *endpoint
 	for _, c := range candidates {
 		e := p.endpointOf(c, now)
-		if c.ID == self && e.ejectedUntil <= now && e.coldUntil <= now && !tried.Has(c.ID) {
+		if c.ID == self && e.ejectedUntil <= now && e.coldUntil <= now && e.coldRate == 0 && !tried.Has(c.ID) {
 			local = e
 		}
 		switch {
@@ -258,7 +267,10 @@
 		}
 		p.endpoints[c.ID] = e
 	}
-	e.instance, e.lastCandidate = c, now
+	e.instance, e.lastCandidate, e.coldRate = c, now, 0
+	if c.Endpoint != nil && c.Endpoint.Cold && p.cfg.ColdRate != nil {
+		e.coldRate = p.cfg.ColdRate(c.Endpoint.Service)
+	}
 	return e
 }
 
@@ -303,8 +315,16 @@
 }
 
 // trafficShare returns the share of its full traffic that an endpoint gets,
-// from coldShare to 1.
+// from coldShare to 1. A server that is cold gets the share that its ColdRate is of the
+// requests that it can run when it is warm.
 func (p *Picker) trafficShare(e *endpoint, now pollenlatch.MonoTime) float64 {
+	if e.coldRate > 0 {
+		latency := e.latency
+		if latency == 0 {
+			latency = limitedLatency.Seconds()
+		}
+		return min(1, max(minLimitedShare, e.coldRate*latency/(2*e.halfSlots())))
+	}
 	left := e.coldUntil.Sub(now)
 	if left <= 0 {
 		return 1
--- a/pick/picker_test.go
+++ b/pick/picker_test.go
@@ -313,3 +313,27 @@
 		c.advance(time.Millisecond)
 	}
 }
+
+// A cold server must get about its ColdRate. With its full traffic it refuses most
+// requests, and without any it stays idle until it is warm.
+func TestPickColdServer(t *testing.T) {
+	const coldRate = 14
+	c := &manualClock{now: pollenlatch.MonoTime(time.Hour)}
+	p := New(Config{
+		Clock: c, Seed: 1, LocalServer: func() (pollenlatch.InstanceID, int) { return 4, 10 },
+		ColdRate: func(service string) float64 {
+			require.Equal(t, "catalogue", service)
+			return coldRate
+		},
+	})
+	all := candidates(4)
+	countPicks(t, p, c, all, 100, nil)
+	all[3].Endpoint.Cold = true
+	// 1 ms between requests is a rate of 1000 for 4 servers; each can run 1000.
+	m := countPicks(t, p, c, all, 5000, nil)
+	require.Greater(t, m[4], 5)
+	require.Less(t, m[4], 5*4*coldRate)
+	all[0].Endpoint.Cold, all[1].Endpoint.Cold, all[2].Endpoint.Cold = true, true, true
+	m = countPicks(t, p, c, all, 1000, nil)
+	require.Greater(t, min(m[1], m[2], m[3], m[4]), 100, "all are cold: %v", m)
+}
