--- a/beat/beat.go
+++ b/beat/beat.go
@@ -63,6 +63,9 @@
 	// InheritedTTL is the maximum time, from the start of this process, for which
 	// grants of an earlier process of this daemon may remain valid.
 	InheritedTTL time.Duration
+	// Cold is called with the time for which a heartbeat says that the server stays
+	// cold, and returns whether the server must be treated as cold. nil: it never is.
+	Cold func(e pollenlatch.Endpoint, left time.Duration) bool
 }
 
 // Tracker tracks the grants of the local server. It implements
@@ -92,6 +95,7 @@
 	limit            float64                 // named by the responses of the server, in requests a second; 0 is none
 	signalsOf        pollenlatch.Incarnation // the server that limit and leaving belong to
 	limitAnnouncedAt pollenlatch.MonoTime
+	coldAnnouncedAt  pollenlatch.MonoTime
 }
 
 // grant is the grant of one range in a reply.
@@ -141,6 +145,7 @@
 	}
 	b.Endpoint.Draining = t.leaving
 	b.Endpoint.Limit = t.limit
+	b.Endpoint.Cold = t.cfg.Cold != nil && t.cfg.Cold(b.Endpoint, b.ColdFor)
 	if b.Endpoint != t.server || !t.announced {
 		t.announceLocked(b.Endpoint)
 	}
@@ -187,6 +192,9 @@
 		t.limitAnnouncedAt = t.cfg.Clock.Now()
 		klog.InfoS("limit of the server changed", "server", e.ID, "from", t.server.Limit, "to", e.Limit)
 	}
+	if e.Cold != t.server.Cold {
+		t.coldAnnouncedAt = t.cfg.Clock.Now()
+	}
 	t.server = e
 	if t.announced = t.cfg.Control.JoinVersion() > 0; t.announced {
 		t.cfg.Observer.Announce(e)
--- a/beat/signal.go
+++ b/beat/signal.go
@@ -15,6 +15,9 @@
 	// such announcements. Each is a log entry that goes to all daemons.
 	minLimitChange   = 0.1
 	minLimitInterval = 500 * time.Millisecond
+	// minColdInterval is the minimum time between an announcement of the cold state and
+	// the next one that does not wait for a heartbeat.
+	minColdInterval = time.Second
 	// recordTimeout limits the wait until the state records that a server is leaving.
 	// The server discards an acknowledgement that takes longer than a second.
 	recordTimeout = 800 * time.Millisecond
@@ -45,6 +48,21 @@
 	t.announceLocked(e)
 }
 
+// ObserveCold announces that a server has become cold before its next heartbeat does.
+// The end of the cold state is announced by a heartbeat, since only the distribution of
+// new load waits for it: when all servers of a data centre are cold at once, each of them
+// adds two entries to the log.
+func (t *Tracker) ObserveCold(of pollenlatch.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.server.Incarnation != of || of == 0 || t.server.Cold || t.cfg.Clock.Now().Sub(t.coldAnnouncedAt) < minColdInterval {
+		return
+	}
+	e := t.server
+	e.Cold = true
+	t.announceLocked(e)
+}
+
 // leavingRecorded reports whether the replicated state records that a server is
 // leaving. A restarted process of this daemon then knows it too.
 func (t *Tracker) leavingRecorded(i pollenlatch.Incarnation) bool {
--- a/beat/signal_test.go
+++ b/beat/signal_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
 )
 
 // A limit must reach the state at once and stay there with the next heartbeats, which
@@ -105,3 +107,44 @@
 		require.False(t, f.announced[len(f.announced)-1].Draining)
 	})
 }
+
+// The cold state must reach the state with the announcement of the server, and at once
+// when the server becomes cold in mid-life. Servers that alternate, and all servers of a
+// data centre that are cold at once, must not fill the log.
+func TestColdIsAnnounced(t *testing.T) {
+	f := newFixture(t)
+	e := newEndpoint("s1", 1)
+	f.initState(e)
+	coldFor := 3 * time.Second
+	var service string
+	f.tracker.cfg.Cold = func(e pollenlatch.Endpoint, left time.Duration) bool {
+		service = e.Service
+		return left > 0
+	}
+	heartbeat := func(left time.Duration) {
+		f.seq++
+		_, err := f.tracker.Heartbeat(pollenlatch.Heartbeat{Endpoint: e, Seq: f.seq, ColdFor: left})
+		require.NoError(t, err)
+	}
+	cold := func() (out []bool) {
+		for _, e := range f.announced {
+			out = append(out, e.Cold)
+		}
+		return out
+	}
+	heartbeat(coldFor)
+	require.Equal(t, "listing", service)
+	require.Equal(t, []bool{true}, cold(), "with the first announcement")
+	heartbeat(coldFor)
+	f.now = f.now.Add(5 * time.Second)
+	heartbeat(0)
+	require.Equal(t, []bool{true, false}, cold())
+	f.tracker.ObserveCold(e.Incarnation)
+	require.Len(t, cold(), 2, "too soon after the last")
+	f.now = f.now.Add(minColdInterval)
+	f.tracker.ObserveCold(e.Incarnation + 1)
+	require.Len(t, cold(), 2, "another server")
+	f.tracker.ObserveCold(e.Incarnation)
+	f.tracker.ObserveCold(e.Incarnation)
+	require.Equal(t, []bool{true, false, true}, cold())
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,6 +88,7 @@
 	local          *local.Monitor // nil with Platform
 	tracker        *beat.Tracker  // nil without Platform
 	relay          *relay.Relay
+	cold           *coldGuard // nil without Platform
 	admitter       admitter
 	recordStore    *dedup.Store
 	serve          *serve.Server
@@ -115,6 +116,8 @@
 	gate          halt.Gate     // refuses requests during a shutdown
 	probeRequests chan struct{} // asks for a probe of the local server
 
+	healthRequests chan struct{} // asks for a health check of the local server
+
 	abortOnce sync.Once
 	aborted   chan struct{}
 	drainOnce sync.Once
@@ -158,6 +161,8 @@
 
 		probeRequests: make(chan struct{}, 1),
 
+		healthRequests: make(chan struct{}, 1),
+
 		aborted:        make(chan struct{}),
 		drainRequested: make(chan struct{}),
 		startedAt:      time.Now(),
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -57,6 +57,9 @@
 		})
 	}
 	d.endpoint, d.endpointKnown = e, true
+	if d.cold != nil {
+		d.cold.useServer(e, time.Now()) // before the server gets its first request
+	}
 	d.relay.SetEndpoint(withMaxConns(e))
 	d.admitter.SetSlots(int(e.Slots))
 }
@@ -80,11 +83,15 @@
 		d.mu.Unlock()
 		return
 	}
-	limit, changed := d.limit.Observe(s.Limit, s.SentAt, time.Now())
+	now := time.Now()
+	limit, changed := d.limit.Observe(s.Limit, s.SentAt, now)
 	if changed {
 		d.setLimitLocked(limit)
 	}
 	d.mu.Unlock()
+	if s.ColdFor != nil {
+		d.observeCold(s.Incarnation, *s.ColdFor, s.SentAt, now)
+	}
 	if changed || limit > 0 || s.Leaving {
 		d.tracker.Observe(s.Incarnation, limit, s.Leaving)
 	}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -60,7 +60,9 @@
 	}
 	d.relay = relay.New(relayCfg)
 	if d.cfg.Platform != nil {
-		d.admitter = admit.NewScheduler().WithPacer(pacer)
+		scheduler := admit.NewScheduler().WithPacer(pacer)
+		d.admitter = scheduler
+		d.cold = newColdGuard(d.control.View, scheduler.SetColdLimit, d.requestHealthCheck)
 	} else {
 		d.admitter = admit.NewPriorityAdmitter(admit.Config{QueueLimit: d.queueLimit, RateLimit: d.rateLimit})
 	}
@@ -113,7 +115,7 @@
 		return nil
 	}
 	routerCfg := front.RouterConfig{
-		Control: &d.control, Local: localHandler, Forwarder: node, Picker: pick.New(pick.Config{LocalServer: d.localFreeSlots}), DC: d.cfg.DC, Metrics: d.metrics,
+		Control: &d.control, Local: localHandler, Forwarder: node, Picker: pick.New(pick.Config{LocalServer: d.localFreeSlots, ColdRate: d.coldRate}), DC: d.cfg.DC, Metrics: d.metrics,
 	}
 	if p := d.cfg.Platform; p != nil {
 		routerCfg.ServiceBudgets = &pick.ServiceBudgets{Ratio: p.RetryBudget.Ratio, Burst: p.RetryBudget.Burst}
@@ -149,7 +151,7 @@
 // exchangeCounted sends a request to the local server and counts it.
 func (d *Daemon) exchangeCounted(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
 	if d.cfg.Platform != nil {
-		return d.relay.Exchange(ctx, r, check) // already counted by countRequests
+		return d.exchangeGuarded(ctx, r, check) // already counted by countRequests
 	}
 	key := r.Key
 	if key == "" {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -75,6 +75,7 @@
 	return beat.New(beat.Config{
 		Control: &d.control, Observer: d, Clock: pollenlatch.BootClock{}, Service: p.LocalService, Addr: p.LocalAddr, Interval: p.HeartbeatInterval,
 		MaxTTL: p.MaxGrantTTL, MaxRangesBytes: p.MaxRangesBytes, InheritedTTL: d.cfg.Timing.Lease,
+		Cold: func(e pollenlatch.Endpoint, left time.Duration) bool { return d.cold.heartbeat(e, left, time.Now()) },
 	})
 }
 
@@ -88,6 +89,7 @@
 		defer d.mu.Unlock()
 		return d.limit.Limit()
 	})
+	d.registerColdMetrics()
 	d.metrics.GetOrCreateGauge("pollenlatch_link_backlog_seconds", func() float64 { return pacer.Backlog().Seconds() })
 }
 
@@ -137,6 +139,7 @@
 	go d.tracker.Watch(ctx)
 	go d.restoreEndpoint(ctx)
 	go d.runProbes(ctx)
+	go d.runHealthChecks(ctx)
 }
 
 // countRequests returns a handler that counts the requests for each range as they
@@ -155,6 +158,9 @@
 	case d.probeRequests <- struct{}{}:
 	default:
 	}
+	if d.cold.enabled.Load() {
+		d.requestHealthCheck()
+	}
 }
 
 // runProbes probes the local server on request until ctx ends.
