--- a/interfaces.go
+++ b/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -50,6 +51,9 @@
 	SoftDeadline time.Time // end of the latency objective; zero when there is none
 	Nested       bool      // sent by a server while it runs another request
 	Bulk         bool      // the response is large, and is paced on the link
+	// Body is the large body of the request, which is admitted to the network link
+	// together with the request; nil when there is none to wait for.
+	Body IncomingBody
 }
 
 // Admitter admits requests to the local server.
@@ -132,6 +136,46 @@
 	End()
 }
 
+// Intake schedules the bodies of large requests on the network link to this instance.
+// A body stays at its sender until the request is admitted.
+type Intake interface {
+	// Begin returns the body of a request of a route with its size in bytes, which is -1
+	// when it is unknown, the end of the latency objective, and the deadline. The caller
+	// must call End on the result.
+	Begin(route string, size int64, softDeadline, deadline time.Time) IncomingBody
+}
+
+// IncomingBody is a body that waits at its sender, or is being received.
+type IncomingBody interface {
+	// Queue adds the body to those that wait for the link, and returns when it is likely
+	// to have arrived. runTime is what its request takes afterwards.
+	Queue(runTime time.Duration, now time.Time) (arrival time.Time)
+	// TransferTime returns the time that the rest of the body takes on the link.
+	TransferTime() time.Duration
+	// MayStart reports whether the body is the next one that may move, and the link
+	// will be free for it.
+	MayStart(now time.Time) bool
+	// Start says that the request is admitted. The body now occupies the link.
+	Start(now time.Time)
+	// Wait returns when the next n bytes may be requested, or with the error of ctx.
+	Wait(ctx context.Context, n int) error
+	// Arrived says that n bytes have arrived.
+	Arrived(n int)
+	// Received returns when the end of the body arrived, or zero before that.
+	Received() time.Time
+	// End says that the body is not received any further. It may be called more than
+	// once.
+	End()
+}
+
+// RequestedBody is a body whose sender sends bytes only when they are requested. Read
+// requests them itself until Request is called for the first time.
+type RequestedBody interface {
+	io.Reader
+	// Request asks the sender for the next n bytes. It does not wait for them.
+	Request(n int) error
+}
+
 // PlanInput is the planner's input.
 type PlanInput struct {
 	View      View
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -197,48 +197,11 @@
 	return nil
 }
 
-// order returns the transfers in the order in which they are sent: those that can
-// meet their soft deadline, then those that can meet their deadline, then the rest.
+// order returns the transfers in the order in which they are sent.
 func (l *Link) order(now time.Time) []*transfer {
-	rest := slices.Clone(l.transfers)
-	end := now
-	var order []*transfer
-	for _, due := range []func(*transfer) time.Time{
+	return Order(slices.Clone(l.transfers), now,
+		func(t *transfer) time.Duration { return l.sendTime(float64(t.remaining)) },
 		func(t *transfer) time.Time { return t.softDeadline },
 		func(t *transfer) time.Time { return t.deadline },
-	} {
-		var feasible []*transfer
-		feasible, rest = l.selectFeasible(rest, end, due)
-		for _, t := range feasible {
-			end = end.Add(l.sendTime(float64(t.remaining)))
-		}
-		order = append(order, feasible...)
-	}
-	slices.SortStableFunc(rest, func(a, b *transfer) int { return a.remaining - b.remaining })
-	return append(order, rest...)
-}
-
-// selectFeasible returns a largest set of transfers that all complete by their due
-// time when sending starts at the given time, in order of the due times, and the other
-// transfers. This is the Moore-Hodgson algorithm: it adds transfers in order of their
-// due times, and whenever one would be late it removes the longest.
-func (l *Link) selectFeasible(transfers []*transfer, at time.Time, due func(*transfer) time.Time) (feasible, rest []*transfer) {
-	slices.SortStableFunc(transfers, func(a, b *transfer) int { return due(a).Compare(due(b)) })
-	for _, t := range transfers {
-		feasible = append(feasible, t)
-		at = at.Add(l.sendTime(float64(t.remaining)))
-		if !at.After(due(t)) {
-			continue
-		}
-		longest := 0
-		for n, o := range feasible {
-			if o.remaining >= feasible[longest].remaining {
-				longest = n
-			}
-		}
-		at = at.Add(-l.sendTime(float64(feasible[longest].remaining)))
-		rest = append(rest, feasible[longest])
-		feasible = slices.Delete(feasible, longest, longest+1)
-	}
-	return feasible, rest
+	)
 }
