--- a/link/config.go
+++ b/link/config.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"pollenlatch"
 )
 
@@ -50,6 +52,11 @@
 	// they are sent as fast as the peer reads.
 	Pacer pollenlatch.Pacer
 
+	// RecordReceived is called with the number of bytes that arrive for requests and
+	// responses, apart from the bodies that the handler requests. nil: it is not called.
+	RecordReceived func(n int)
+	Metrics        *metrics.Set // nil: metrics are not exported
+
 	// Dial opens a connection; nil dials TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -84,6 +91,12 @@
 			*v.d = v.n
 		}
 	}
+	if c.RecordReceived == nil {
+		c.RecordReceived = func(int) {}
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
 	if c.MaxRequestSessions == 0 {
 		c.MaxRequestSessions = DefaultMaxRequestSessions
 	}
--- a/link/forward.go
+++ b/link/forward.go
@@ -57,6 +57,9 @@
 		return nil, contextEnded(context.Canceled, false)
 	}
 	x := &exchange{session: s, stream: st, head: &r.RequestHead, ctx: ctx, timersSet: make(chan struct{})}
+	if r.Body != nil && sentOnRequest(&r.RequestHead) {
+		x.request, x.credit = r, newBodyCredit()
+	}
 	x.deadlineTimer = time.AfterFunc(remaining+deadlineMargin, x.expire)
 	x.stopWatch = context.AfterFunc(ctx, x.abort)
 	close(x.timersSet)
@@ -80,6 +83,10 @@
 	expired        atomic.Bool
 	ended          atomic.Bool // finished or aborted
 	requestWritten atomic.Bool // the complete request was written
+
+	request   *pollenlatch.Request // nil unless the accepting side requests the body
+	credit    *bodyCredit          // nil unless the accepting side requests the body
+	requested bool                 // it has requested the body; used by the reader of the response
 }
 
 // expire aborts the exchange at its deadline.
@@ -102,6 +109,7 @@
 	if !x.ended.CompareAndSwap(false, true) {
 		return
 	}
+	x.credit.close()
 	_ = x.stream.SetDeadline(aLongTimeAgo)
 	if !x.session.node.spawn(x.closeStream) {
 		x.closeStream()
@@ -125,8 +133,10 @@
 	if !x.ended.CompareAndSwap(false, true) {
 		return
 	}
+	x.credit.close()
 	st := x.stream
-	if !x.stopWatch() || !reusable || !x.requestWritten.Load() {
+	written := x.requestWritten.Load() || x.unrequested()
+	if !x.stopWatch() || !reusable || !written {
 		_ = st.SetDeadline(aLongTimeAgo)
 		_ = st.Close()
 		st = nil
@@ -156,6 +166,13 @@
 	p := chunkBuffers.Get().(*[]byte)
 	defer chunkBuffers.Put(p)
 	out := appendNumbered((*p)[:0], kindHead, x.stream.number, b)
+	if x.credit != nil {
+		x.session.node.bodiesOffered.Inc()
+		if n, err := x.stream.Write(out); err != nil {
+			return x.headWriteFailure(n, err)
+		}
+		return nil
+	}
 	complete := r.Body == nil || h.Length == 0
 	if !complete {
 		out, complete = appendInlineBody(out, r.Body, h.Length)
@@ -197,7 +214,7 @@
 // named here before it queues the first byte; after any other error a byte may have
 // been sent.
 func (x *exchange) headWriteFailure(n int, err error) *pollenlatch.Failure {
-	unsent := n == 0 && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrTimeout))
+	unsent := x.unrequested() || n == 0 && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrTimeout))
 	if e := x.abortCause(); e != nil {
 		return contextEnded(e, !unsent)
 	}
@@ -210,13 +227,20 @@
 // writeBody writes the body in chunks. A body that is shorter or longer than stated
 // gets no end mark.
 func (x *exchange) writeBody(body io.Reader, length int64) {
+	transfer := x.beginBody(length)
+	defer transfer.End()
 	p := chunkBuffers.Get().(*[]byte)
 	defer chunkBuffers.Put(p)
 	out := (*p)[:frameHeaderBytes+maxChunkBytes]
 	var sent int64
 	for !x.ended.Load() {
-		n, err := body.Read(out[frameHeaderBytes:])
+		limit, ok := x.chunkLimit(sent, length)
+		if !ok {
+			return
+		}
+		n, err := body.Read(out[frameHeaderBytes : frameHeaderBytes+limit])
 		sent += int64(n)
+		x.returnCredit(limit - n)
 		if length >= 0 && (sent > length || (errors.Is(err, io.EOF) && sent != length)) {
 			err = io.ErrUnexpectedEOF
 		}
@@ -231,10 +255,17 @@
 			x.abort()
 			return
 		}
+		if transfer.Wait(x.ctx, n) != nil {
+			x.abort()
+			return
+		}
 		if len(frames) > 0 {
 			if _, err := x.stream.Write(frames); err != nil {
 				return // the reader of the response sees that the stream has ended
 			}
+			if x.credit != nil {
+				x.session.node.bodyBytes.Add(n)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			x.requestWritten.Store(true)
@@ -243,17 +274,33 @@
 	}
 }
 
-// readResponse reads the head of the response, or a failure.
-func (x *exchange) readResponse() (*pollenlatch.Response, error) {
+// readNumbered reads a frame of this exchange.
+func (x *exchange) readNumbered() (frameKind, []byte, error) {
 	k, b, err := readFrame(x.stream.r, exchangeNumberBytes+maxHeadBytes)
 	if err != nil {
-		return nil, x.fail(err)
+		return 0, nil, err
 	}
-	x.deadlineTimer.Stop()
 	number, b, err := splitNumber(b)
 	if err != nil || number != x.stream.number {
-		return nil, x.fail(fmt.Errorf("%w: response has exchange number %d, expected %d", errMalformedFrame, number, x.stream.number))
+		return 0, nil, fmt.Errorf("%w: response has exchange number %d, expected %d", errMalformedFrame, number, x.stream.number)
+	}
+	return k, b, nil
+}
+
+// readResponse reads the head of the response, or a failure, after any requests for
+// bytes of the body.
+func (x *exchange) readResponse() (*pollenlatch.Response, error) {
+	k, b, err := x.readNumbered()
+	for err == nil && k == kindBodyRequest {
+		if err = x.handleBodyRequest(b); err == nil {
+			k, b, err = x.readNumbered()
+		}
+	}
+	if err != nil {
+		return nil, x.fail(err)
 	}
+	x.deadlineTimer.Stop()
+	x.session.node.recordReceived(len(b))
 	switch k {
 	case kindFailure:
 		f := new(failure)
@@ -282,7 +329,10 @@
 	ctxErr := x.abortCause()
 	x.abort()
 	if ctxErr != nil {
-		return contextEnded(ctxErr, true)
+		return contextEnded(ctxErr, !x.unrequested())
+	}
+	if x.unrequested() {
+		return unreachable("daemon %s: request ended before its body was requested: %v", x.session.addr, unexpectedEOF(err))
 	}
 	return connectionLost("daemon %s: response could not be read: %v", x.session.addr, unexpectedEOF(err))
 }
@@ -339,6 +389,7 @@
 	switch {
 	case k == kindChunk && n > 0 && n <= maxChunkBytes:
 		a.left = n
+		a.x.session.node.recordReceived(n)
 		if a.length >= 0 && a.read+int64(n) > a.length {
 			return a.x.fail(errMalformedFrame)
 		}
--- a/link/frame.go
+++ b/link/frame.go
@@ -23,6 +23,10 @@
 	kindFailure  frameKind = 8  // failure
 	kindCancel   frameKind = 9  // stream ID of an exchange that the dialling side has aborted
 	kindDrain    frameKind = 10 // the receiver starts no new exchange on this session
+
+	// kindBodyRequest has the number of bytes of a large body that the accepting side
+	// requests.
+	kindBodyRequest frameKind = 11
 )
 
 const (
--- a/link/node.go
+++ b/link/node.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"pollenlatch/logs"
@@ -52,6 +53,10 @@
 	outbound       outboundPool  // dialled request sessions
 	maxIdleStreams int           // of one outbound session
 	dialFailureLog *logs.Limiter // for log lines on request sessions that could not be opened
+
+	bodiesOffered   *metrics.Counter // heads that were sent without their large bodies
+	bodiesRequested *metrics.Counter // those of them whose bodies were requested
+	bodyBytes       *metrics.Counter // bytes sent of these bodies
 }
 
 // New returns a node that does not listen and has no connections. The caller must
@@ -75,10 +80,15 @@
 		maxIdleStreams: defaultMaxIdleStreams,
 		dialFailureLog: logs.NewLimiter(dialFailureLogRate, dialFailureLogRate),
 	}
+	n.bodiesOffered = n.cfg.Metrics.GetOrCreateCounter("pollenlatch_link_bodies_offered_total")
+	n.bodiesRequested = n.cfg.Metrics.GetOrCreateCounter("pollenlatch_link_bodies_requested_total")
+	n.bodyBytes = n.cfg.Metrics.GetOrCreateCounter("pollenlatch_link_body_bytes_total")
 	n.spawn(n.closeIdleLoop)
 	return n, nil
 }
 
+func (n *Node) recordReceived(bytes int) { n.cfg.RecordReceived(bytes) }
+
 // spawn runs f in a goroutine that Close waits for. It returns false when the node
 // is closed.
 func (n *Node) spawn(f func()) bool {
--- a/link/serve.go
+++ b/link/serve.go
@@ -41,6 +41,8 @@
 	request  pollenlatch.Request
 	pipe     *io.PipeReader // nil unless the body is streamed
 	complete atomic.Bool    // the end mark of the request was read
+
+	onRequest *requestedBody // nil unless the body is sent when it is requested
 }
 
 // abort cancels the exchange, if there is one, and closes the stream.
@@ -70,6 +72,7 @@
 		if in.request.LatencyLeft != 0 {
 			in.request.SoftDeadline = now.Add(in.request.LatencyLeft)
 		}
+		st.session.node.recordReceived(len(b))
 		if err := st.dispatch(in); err != nil {
 			return
 		}
@@ -78,6 +81,9 @@
 
 // dispatch passes a request to the handler and reads its body.
 func (st *inboundStream) dispatch(in *inboundRequest) error {
+	if sentOnRequest(&in.request.RequestHead) {
+		return st.dispatchOnRequest(in)
+	}
 	length := in.request.Length
 	if length >= 0 && length <= maxInlineBody {
 		k, n, err := readHeader(st.r)
@@ -115,6 +121,7 @@
 	if _, err := io.ReadFull(st.r, b); err != nil {
 		return unexpectedEOF(err)
 	}
+	st.session.node.recordReceived(n)
 	k, n, err := readHeader(st.r)
 	if err != nil {
 		return unexpectedEOF(err)
@@ -136,7 +143,12 @@
 	if err := st.enqueue(in); err != nil {
 		return err
 	}
-	err := st.copyBody(in, pw, first)
+	return st.endBody(in, pw, st.copyBody(in, pw, first))
+}
+
+// endBody ends a body that was passed to the handler, after an error of reading it or
+// nil.
+func (st *inboundStream) endBody(in *inboundRequest, pw *io.PipeWriter, err error) error {
 	if err != nil {
 		st.cancel()
 		_ = pw.CloseWithError(unexpectedEOF(err))
@@ -167,13 +179,16 @@
 			}
 			n = size
 		}
-		if n > maxChunkBytes {
+		if n > maxChunkBytes || !in.onRequest.mayArrive(total+int64(n)) {
 			return errMalformedFrame
 		}
 		b := (*p)[:n]
 		if _, err := io.ReadFull(st.r, b); err != nil {
 			return unexpectedEOF(err)
 		}
+		if in.onRequest == nil {
+			st.session.node.recordReceived(n)
+		}
 		total += int64(n)
 		n = 0
 		// After the handler has returned, the rest of the body is read and
@@ -220,7 +235,8 @@
 	ctx, cancel := context.WithCancel(st.ctx)
 	defer cancel()
 	resp, err := logs.HandleRecovered(ctx, st.session.node.cfg.RequestHandler, &in.request)
-	if in.pipe != nil && err != nil {
+	in.onRequest.close()
+	if in.pipe != nil && (err != nil || in.onRequest != nil) {
 		_ = in.pipe.CloseWithError(errHandlerReturned)
 	}
 	if err != nil {
@@ -245,10 +261,11 @@
 	return err == nil && keep == reuseStream
 }
 
-// reuseByte returns reuseStream if the complete request was read, so that none of
-// its bytes can be taken for the next head, and discardStream otherwise.
+// reuseByte returns reuseStream if the complete request was read, or its body was never
+// requested, so that none of its bytes can be taken for the next head, and discardStream
+// otherwise.
 func (st *inboundStream) reuseByte(in *inboundRequest) byte {
-	if in.complete.Load() && st.ctx.Err() == nil {
+	if (in.complete.Load() || in.onRequest.unrequested()) && st.ctx.Err() == nil {
 		return reuseStream
 	}
 	return discardStream
