--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -47,6 +47,7 @@
 	pollenlatch.AdmitRequest
 	runTime    time.Duration // typical run time at arrival
 	sendTime   time.Duration // typical time of the response on the network link; 0 when it is not paced
+	bodyTime   time.Duration // time of the large body on the network link at arrival; 0 when there is none
 	started    time.Time     // zero while it waits
 	onDecision func(*pollenlatch.Failure)
 }
@@ -70,7 +71,7 @@
 
 // wouldMiss reports whether the request misses its objective if it starts now.
 func (r *request) wouldMiss(now time.Time) bool {
-	return r.missesObjective(now.Add(r.runTime + r.sendTime))
+	return r.missesObjective(now.Add(r.serviceTime()))
 }
 
 // missesObjective reports whether the request misses its objective if its run is a
@@ -107,10 +108,11 @@
 	runTimes     map[string]time.Duration // by route
 	offeredSlots float64                  // offered load in slots, over loadWindow
 	offeredLink  float64                  // offered load as a share of the link, over loadWindow
+	offeredBody  float64                  // the same for large bodies on the link into this instance
 	demandSlots  float64                  // offered load in slots, over demandWindow
 	arrivalRate  float64                  // requests a second, over demandWindow
 	refusalRate  float64                  // refused requests a second, over demandWindow
-	decayedAt    time.Time                // time of the last decay of the five averages above
+	decayedAt    time.Time                // time of the last decay of the averages above
 }
 
 func (s *schedule) typicalRunTime(route string) time.Duration {
@@ -137,6 +139,7 @@
 	s.decay(now)
 	s.offeredSlots += r.runTime.Seconds() / loadWindow.Seconds()
 	s.offeredLink += r.sendTime.Seconds() / loadWindow.Seconds()
+	s.offeredBody += r.bodyTime.Seconds() / loadWindow.Seconds()
 	s.demandSlots += r.runTime.Seconds() / demandWindow.Seconds()
 	s.arrivalRate += 1 / demandWindow.Seconds()
 }
@@ -146,6 +149,7 @@
 		elapsed := now.Sub(s.decayedAt).Seconds()
 		s.offeredSlots *= math.Exp(-elapsed / loadWindow.Seconds())
 		s.offeredLink *= math.Exp(-elapsed / loadWindow.Seconds())
+		s.offeredBody *= math.Exp(-elapsed / loadWindow.Seconds())
 		decay := math.Exp(-elapsed / demandWindow.Seconds())
 		s.demandSlots *= decay
 		s.arrivalRate *= decay
@@ -164,6 +168,9 @@
 	if r.sendTime > 0 {
 		left = min(left, 1-s.offeredLink)
 	}
+	if r.bodyTime > 0 {
+		left = min(left, 1-s.offeredBody)
+	}
 	return max(minSpareShare, left)
 }
 
@@ -182,7 +189,7 @@
 
 // estimateStart returns when a request is likely to start.
 func (s *schedule) estimateStart(r *request, now time.Time) time.Time {
-	if len(s.running) < s.slots && len(s.waiting) == 0 {
+	if len(s.running) < s.slots && (len(s.waiting) == 0 || s.waitsForLinkOnly()) {
 		return now.Add(s.limiter.Wait(1, now))
 	}
 	var ahead time.Duration
@@ -208,7 +215,7 @@
 // estimateDelivery returns when the response to a request that begins to run at
 // start is likely to have been sent.
 func (s *schedule) estimateDelivery(r *request, start, now time.Time) time.Time {
-	end := start.Add(r.runTime)
+	end := r.estimateBody(start, now).Add(r.runTime)
 	if r.sendTime == 0 {
 		return end
 	}
@@ -234,6 +241,7 @@
 	if r.Bulk && s.pacer != nil {
 		r.sendTime = s.pacer.TypicalTime(r.Route)
 	}
+	r.queueBody(now)
 	s.recordArrival(r, now)
 	if s.slots <= 0 {
 		return noServer()
@@ -245,13 +253,16 @@
 	s.waiting = append(s.waiting, r)
 	s.startWaiting(now)
 	s.refuseOverdue(now)
+	if r.Body != nil {
+		s.refuseLateBodies(now)
+	}
 	return nil
 }
 
 // checkDeadlines refuses a request that is likely to miss its deadline, or under
 // lasting overload its objective.
 func (s *schedule) checkDeadlines(r *request, end, now time.Time) *pollenlatch.Failure {
-	serviceTime := r.runTime + r.sendTime
+	serviceTime := r.serviceTime()
 	wait := end.Sub(now) - serviceTime
 	if len(s.waiting) >= maxWaiting || end.After(r.Deadline) {
 		return s.refusal(r, wait, now, "the response would miss the deadline")
@@ -272,8 +283,8 @@
 	s.refusalRate += 1 / demandWindow.Seconds()
 	left := r.Deadline.Sub(now)
 	f := notRun(pollenlatch.ReasonOverloaded, statusUnavailable, fmt.Sprintf(
-		"%s: expected wait %d ms, typical run and transfer %d ms, %d ms left; %d of %d slots occupied, %d waiting, offered load %.1f slots and %.1f of the link, limit %.1f/s",
-		detail, wait.Milliseconds(), (r.runTime+r.sendTime).Milliseconds(), left.Milliseconds(), len(s.running), s.slots, len(s.waiting), s.offeredSlots, s.offeredLink, s.limiter.Limit(),
+		"%s: expected wait %d ms, typical run and transfer %d ms, %d ms left; %d of %d slots occupied, %d waiting, offered load %.1f slots, %.1f of the link and %.1f for bodies, limit %.1f/s",
+		detail, wait.Milliseconds(), r.serviceTime().Milliseconds(), left.Milliseconds(), len(s.running), s.slots, len(s.waiting), s.offeredSlots, s.offeredLink, s.offeredBody, s.limiter.Limit(),
 	))
 	f.RetryAfter = max(minRetryAfter, min(wait, time.Duration(maxRetryAfterShare*float64(left))))
 	return f
@@ -288,24 +299,31 @@
 		}
 		s.limiter.Take(now)
 		r.started = now
+		if r.Body != nil {
+			r.Body.Start(now)
+		}
 		s.running[r] = struct{}{}
 		r.onDecision(nil)
 	}
 }
 
-// popNext removes and returns the request that runs next. It refuses requests that
-// can no longer meet their deadline.
+// popNext removes and returns the request that runs next, or nil when there is none.
+// Requests whose bodies have to wait for the network link are passed over. It refuses
+// requests that can no longer meet their deadline.
 func (s *schedule) popNext(now time.Time) *request {
 	for len(s.waiting) > 0 {
-		best := 0
+		best := -1
 		for n, r := range s.waiting {
-			if r.before(s.waiting[best], now) {
+			if (best < 0 || r.before(s.waiting[best], now)) && r.bodyMayStart(now) {
 				best = n
 			}
 		}
+		if best < 0 {
+			return nil
+		}
 		r := s.waiting[best]
 		s.removeAt(best)
-		if now.Add(time.Duration(minRunShare * float64(r.runTime))).Before(r.Deadline) {
+		if now.Add(r.bodyTime + time.Duration(minRunShare*float64(r.runTime))).Before(r.Deadline) {
 			return r
 		}
 		r.onDecision(s.refusal(r, 0, now, "the response would miss the deadline"))
@@ -383,7 +401,9 @@
 		return
 	}
 	delete(s.running, r)
-	s.recordRunTime(r.Route, now.Sub(r.started))
+	if began, ok := r.runBegan(); ok {
+		s.recordRunTime(r.Route, now.Sub(began))
+	}
 	s.startWaiting(now)
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -83,7 +83,7 @@
 // Begin implements pollenlatch.Intake.
 func (l *Link) Begin(route string, size int64, softDeadline, deadline time.Time) pollenlatch.IncomingBody {
 	t := &transfer{link: l}
-	t.body = body{route: route, size: size, known: size >= 0, softDeadline: softDeadline, deadline: deadline}
+	t.body = body{route: route, size: size, softDeadline: softDeadline, deadline: deadline}
 	if softDeadline.IsZero() {
 		t.body.softDeadline = deadline
 	}
@@ -162,6 +162,17 @@
 	return l.queue.expectedArrival(&t.body, now)
 }
 
+// Arrival implements pollenlatch.IncomingBody.
+func (t *transfer) Arrival(now time.Time) time.Time {
+	l := t.link
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.limited() || !t.queued || t.ended {
+		return now
+	}
+	return l.queue.expectedArrival(&t.body, now)
+}
+
 // TransferTime implements pollenlatch.IncomingBody.
 func (t *transfer) TransferTime() time.Duration {
 	l := t.link
@@ -234,9 +245,7 @@
 	if l.bytes != nil {
 		l.bytes.Add(n)
 	}
-	if l.queue.receive(&t.body, n, now) {
-		t.received = now
-	}
+	l.queue.receive(&t.body, n, now)
 	if l.limited() {
 		l.releaseLocked(now)
 	}
@@ -252,7 +261,7 @@
 }
 
 // End implements pollenlatch.IncomingBody.
-func (t *transfer) End() {
+func (t *transfer) End(received bool) {
 	l := t.link
 	now := time.Now()
 	l.mu.Lock()
@@ -261,11 +270,12 @@
 		return
 	}
 	t.ended = true
-	if t.received.IsZero() && t.body.arrived > 0 {
+	if received {
 		t.received = now
+		l.queue.recordSize(t.body.route, t.body.arrived)
 	}
 	if t.queued {
-		l.queue.finish(&t.body)
+		l.queue.remove(&t.body)
 	}
 	if l.limited() {
 		l.releaseLocked(now)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -27,7 +27,7 @@
 		for range n {
 			go func() {
 				b := l.Begin("r", size, start.Add(time.Minute), start.Add(time.Hour))
-				defer func() { b.End(); done <- struct{}{} }()
+				defer func() { b.End(true); done <- struct{}{} }()
 				b.Queue(0, time.Now())
 				for !b.MayStart(time.Now()) {
 					<-time.After(10 * time.Millisecond)
@@ -68,10 +68,11 @@
 		for ; first.Wait(ctx, 16<<10) == nil; chunks++ { // nothing arrives
 		}
 		require.LessOrEqual(t, chunks*(16<<10), int(maxAhead.Seconds()*(1<<20))+16<<10)
-		first.End()
-		first.End()
+		first.End(false)
+		first.End(true)
+		require.Zero(t, first.Received())
 		require.True(t, second.MayStart(time.Now()))
-		second.End()
+		second.End(true)
 	})
 }
 
@@ -85,7 +86,7 @@
 	b.Start(now)
 	require.NoError(t, b.Wait(t.Context(), 1<<30))
 	b.Arrived(1 << 30)
-	b.End()
+	b.End(true)
 	l.RecordOther(1 << 30)
 	(*Link)(nil).RecordOther(1)
 }
--- a/intake/queue.go
+++ b/intake/queue.go
@@ -41,8 +41,7 @@
 // body is a large request body that waits at its sender or is being received.
 type body struct {
 	route        string
-	size         int64     // bytes; an estimate when it is not known
-	known        bool      // size is that of the head
+	size         int64     // bytes; an estimate when the head does not state it
 	softDeadline time.Time // by which it must have arrived for its request to meet its objective
 	deadline     time.Time // by which it must have arrived for its request to meet its deadline
 	started      bool      // its request is admitted
@@ -252,21 +251,12 @@
 	b.turn()
 }
 
-// receive says that n bytes of a body have arrived, and reports whether it is complete.
-func (q *queue) receive(b *body, n int, now time.Time) (complete bool) {
+// receive says that n bytes of a body have arrived.
+func (q *queue) receive(b *body, n int, now time.Time) {
 	b.requested = max(0, b.requested-int64(n))
 	b.arrived += int64(n)
 	b.progressAt = now
 	q.changes++
-	return b.known && b.arrived >= b.size
-}
-
-// finish ends a body, and records its size if it was received completely.
-func (q *queue) finish(b *body) {
-	if b.arrived > 0 && (!b.known || b.arrived >= b.size) {
-		q.recordSize(b.route, b.arrived)
-	}
-	q.remove(b)
 }
 
 // backlog returns how long the bodies that wait or move keep the link busy.
--- a/intake/queue_test.go
+++ b/intake/queue_test.go
@@ -63,7 +63,7 @@
 		if now.Sub(start) < d {
 			if r.Float64() < uploadRate*s.sizes/1000 {
 				u := &upload{arrivedAt: now, silent: r.Float64() < silentShare}
-				u.size, u.known = uploadSize(r), true
+				u.size = uploadSize(r)
 				u.softDeadline, u.deadline = now.Add(uploadTarget-uploadRun), now.Add(uploadLimit-uploadRun)
 				s.uploads = append(s.uploads, u)
 				s.arrive(u, now, &link)
@@ -116,7 +116,7 @@
 	var onTheWay int64
 	s.active = slices.DeleteFunc(s.active, func(u *upload) bool { return !u.doneAt.IsZero() })
 	for _, u := range s.active {
-		if u.started && u.chunk == 0 && u.unrequested > 0 {
+		if u.started && u.chunk == 0 && u.requested == 0 && u.unrequested > 0 {
 			n := min(chunkBytes, u.unrequested)
 			u.chunk, u.turn = int(n), func() {
 				if !u.silent {
@@ -143,9 +143,10 @@
 		u.doneAt = now
 		return
 	}
-	if s.queue.receive(&u.body, int(min(chunkBytes, u.size-u.arrived)), now) {
+	s.queue.receive(&u.body, int(min(chunkBytes, u.size-u.arrived)), now)
+	if u.arrived == u.size {
 		u.doneAt = now
-		s.queue.finish(&u.body)
+		s.queue.remove(&u.body)
 	}
 }
 
@@ -217,8 +218,8 @@
 func TestShortBodyOvertakesLongOne(t *testing.T) {
 	now := time.Unix(1000, 0)
 	q := newQueue(1 << 20)
-	long := &body{size: 360 << 10, known: true, softDeadline: now.Add(2 * time.Second), deadline: now.Add(3 * time.Second)}
-	short := &body{size: 10 << 10, known: true, softDeadline: now.Add(100 * time.Millisecond), deadline: now.Add(time.Second)}
+	long := &body{size: 360 << 10, softDeadline: now.Add(2 * time.Second), deadline: now.Add(3 * time.Second)}
+	short := &body{size: 10 << 10, softDeadline: now.Add(100 * time.Millisecond), deadline: now.Add(time.Second)}
 	q.add(long)
 	q.start(q.next(now), now)
 	q.add(short)
@@ -233,9 +234,9 @@
 	q := newQueue(linkRate)
 	for n := range 20 {
 		due := now.Add(time.Duration(n) * 50 * time.Millisecond)
-		q.add(&body{size: 60e3, known: true, softDeadline: due, deadline: due.Add(time.Second)})
+		q.add(&body{size: 60e3, softDeadline: due, deadline: due.Add(time.Second)})
 	}
-	x := &body{size: 60e3, known: true, softDeadline: now.Add(time.Second), deadline: now.Add(2 * time.Second)}
+	x := &body{size: 60e3, softDeadline: now.Add(time.Second), deadline: now.Add(2 * time.Second)}
 	b.ReportAllocs()
 	for b.Loop() {
 		q.add(x)
--- a/interfaces.go
+++ b/interfaces.go
@@ -152,6 +152,8 @@
 	Queue(runTime time.Duration, now time.Time) (arrival time.Time)
 	// TransferTime returns the time that the rest of the body takes on the link.
 	TransferTime() time.Duration
+	// Arrival returns when a body that waits is likely to have arrived.
+	Arrival(now time.Time) time.Time
 	// MayStart reports whether the body is the next one that may move, and the link
 	// will be free for it.
 	MayStart(now time.Time) bool
@@ -161,11 +163,11 @@
 	Wait(ctx context.Context, n int) error
 	// Arrived says that n bytes have arrived.
 	Arrived(n int)
-	// Received returns when the end of the body arrived, or zero before that.
+	// End says that the body has been received completely, or is not received any
+	// further. Only the first call has an effect.
+	End(received bool)
+	// Received returns when the end of the body arrived, or zero if it did not.
 	Received() time.Time
-	// End says that the body is not received any further. It may be called more than
-	// once.
-	End()
 }
 
 // RequestedBody is a body whose sender sends bytes only when they are requested. Read
