--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -9,6 +9,7 @@
 	"pollenlatch/ctrl"
 	"pollenlatch/dedup"
 	"pollenlatch/front"
+	"pollenlatch/intake"
 	"pollenlatch/link"
 	"pollenlatch/local"
 	"pollenlatch/pace"
@@ -59,8 +60,12 @@
 		relayCfg.Observe = d.observeServer
 	}
 	d.relay = relay.New(relayCfg)
+	incoming := intake.NewLink(payloadShare * d.cfg.Bandwidth)
 	if d.cfg.Platform != nil {
-		d.admitter = admit.NewScheduler().WithPacer(pacer)
+		scheduler := admit.NewScheduler().WithPacer(pacer)
+		incoming.OnFree(scheduler.StartWaiting)
+		incoming.Register(d.metrics)
+		d.admitter = scheduler
 	} else {
 		d.admitter = admit.NewPriorityAdmitter(admit.Config{QueueLimit: d.queueLimit, RateLimit: d.rateLimit})
 	}
@@ -71,7 +76,7 @@
 		ReportCleared: d.reportCleared,
 	}
 	if d.cfg.Platform != nil {
-		serveCfg.ReadAheadBytes = readAheadBytes
+		serveCfg.ReadAheadBytes, serveCfg.Intake = readAheadBytes, incoming
 	}
 	d.serve = serve.New(serveCfg)
 	var forwardedHandler, localHandler pollenlatch.Handler = nil, d.serve
@@ -84,7 +89,7 @@
 	node, err := link.New(link.Config{
 		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.incarnation, Key: d.cfg.Key,
 		ControlHandler: d.receive, RequestHandler: forwardedHandler, MaxRequestSessions: d.cfg.MaxSessions, Dial: d.cfg.Dial,
-		Pacer: pacer,
+		Pacer: pacer, RecordReceived: incoming.RecordOther, Metrics: d.metrics,
 	})
 	if err != nil {
 		return err
--- a/serve/meter.go
+++ b/serve/meter.go
@@ -34,6 +34,9 @@
 	set             *metrics.Set
 	responses       *metrics.Counter
 	exchangeSeconds *metrics.Histogram
+	bodySeconds     *metrics.Histogram
+	bodiesRefused   *metrics.Counter
+	bodiesFailed    *metrics.Counter
 
 	mu        sync.Mutex
 	since     time.Time
@@ -54,6 +57,9 @@
 		set:             cfg.Metrics,
 		responses:       cfg.Metrics.GetOrCreateCounter("pollenlatch_serve_answers_total"),
 		exchangeSeconds: cfg.Metrics.GetOrCreateHistogram("pollenlatch_serve_exchange_seconds"),
+		bodySeconds:     cfg.Metrics.GetOrCreateHistogram("pollenlatch_serve_body_seconds"),
+		bodiesRefused:   cfg.Metrics.GetOrCreateCounter("pollenlatch_serve_bodies_refused_total"),
+		bodiesFailed:    cfg.Metrics.GetOrCreateCounter("pollenlatch_serve_bodies_failed_total"),
 		since:           time.Now(),
 		latencies:       histogram.NewFast(),
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -48,6 +48,9 @@
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
 	// is passed on; 0 disables buffering.
 	ReadAheadBytes int
+	// Intake schedules the bodies of requests with LargeBody on the network link; nil
+	// is an unlimited link.
+	Intake pollenlatch.Intake
 }
 
 // Grants tells which shards the local server has been granted, for a server that
@@ -121,8 +124,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if f := crash.Check(s.cfg.Control.View(), r); f != nil {
-		return nil, f
+	if !awaitsBody(r) { // else it is checked when the body has arrived
+		if f := crash.Check(s.cfg.Control.View(), r); f != nil {
+			return nil, f
+		}
 	}
 	run, resp, err := s.begin(ctx, r, service, owner)
 	if err != nil {
@@ -177,6 +182,8 @@
 			return nil, fail(f)
 		}
 	}
+	incoming := s.beginBody(r)
+	defer incoming.End(false)
 	release, err := s.cfg.Admitter.Admit(ctx, pollenlatch.AdmitRequest{
 		Service:      r.Service,
 		Caller:       r.Caller,
@@ -186,10 +193,20 @@
 		SoftDeadline: r.SoftDeadline,
 		Nested:       r.Nested,
 		Bulk:         r.Bulk,
+		Body:         incoming.IncomingBody,
 	})
 	if err != nil {
+		incoming.countRefusal()
 		return nil, fail(err)
 	}
+	q := *r
+	if run != nil {
+		q.Body = run.Body()
+	}
+	if f := s.receiveBody(ctx, &q, r.Body, incoming); f != nil {
+		release()
+		return nil, fail(f)
+	}
 	permit, err := s.cfg.Control.Acquire(r.Shard, r.Fence)
 	if err != nil {
 		release()
@@ -224,10 +241,8 @@
 		releasePermit(permit, notRun, maxRun)
 		release()
 	}()
-	q := *r
 	if run != nil {
 		run.MarkStarted()
-		q.Body = run.Body()
 	}
 	monitored := s.cfg.Crashes.Begin(&q)
 	failure := abandoned // of the run; nil once it has a response
