--- a/front/limit_listener.go
+++ b/front/limit_listener.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"pollenlatch/sock"
 )
@@ -67,27 +68,46 @@
 	return err
 }
 
+// lingerTime is how long a connection stays open after a response that left a part of the
+// request's body unread. Closing it at once resets it, which can destroy the response
+// while the caller still sends. It is longer than a round trip to another continent.
+const lingerTime = 500 * time.Millisecond
+
 // limitedConn frees its slot in the listener when it is closed.
 type limitedConn struct {
 	net.Conn
-	slots chan struct{}
-	once  sync.Once
-	raw   syscall.RawConn // nil when there is no socket
+	slots  chan struct{}
+	once   sync.Once
+	raw    syscall.RawConn // nil when there is no socket
+	unread atomic.Bool     // its last response left a body unread
 }
 
 // Left implements pollenlatch.Presence.
 func (c *limitedConn) Left() bool { return c.raw != nil && sock.PeerClosed(c.raw) }
 
+// lingerAfterClose makes Close end the sending direction only, and close the connection
+// after lingerTime. Nothing more is read, so the caller can send no more than fits in
+// the buffers.
+func (c *limitedConn) lingerAfterClose() { c.unread.Store(true) }
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
+	if w, ok := c.Conn.(closeWriter); ok && c.unread.Swap(false) && w.CloseWrite() == nil {
+		time.AfterFunc(lingerTime, func() { _ = c.Close() })
+		return nil
+	}
 	c.once.Do(func() { <-c.slots })
 	return c.Conn.Close()
 }
 
+// closeWriter is a connection whose sending direction can be closed separately.
+type closeWriter interface{ CloseWrite() error }
+
 // CloseWrite lets net/http close a connection without losing the response that
-// is still in flight.
+// is still in flight. net/http itself waits before it calls Close.
 func (c *limitedConn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	c.unread.Store(false)
+	if w, ok := c.Conn.(closeWriter); ok {
 		return w.CloseWrite()
 	}
 	return nil
--- a/front/pipeline.go
+++ b/front/pipeline.go
@@ -72,8 +72,18 @@
 // pipelineKey is the context key of the pipelineConn of a request.
 type pipelineKey struct{}
 
+// lingeringConn is a connection that can be closed after a response that leaves a body
+// unread.
+type lingeringConn interface{ lingerAfterClose() }
+
+// lingerKey is the context key of the lingeringConn of a request.
+type lingerKey struct{}
+
 // connContext is an http.Server.ConnContext.
 func connContext(ctx context.Context, c net.Conn) context.Context {
+	if l, ok := c.(lingeringConn); ok {
+		ctx = context.WithValue(ctx, lingerKey{}, l)
+	}
 	if p, ok := c.(*pipelineConn); ok {
 		ctx = context.WithValue(ctx, pipelineKey{}, p)
 	}
--- a/front/responder.go
+++ b/front/responder.go
@@ -26,6 +26,7 @@
 	request *pollenlatch.Request // nil when it could not be parsed
 	body    *replayBody          // body of the request; nil when it has none or was read completely
 	start   time.Time
+	conn    lingeringConn // nil when the connection is always closed at once
 
 	outcome    pollenlatch.Outcome
 	reason     pollenlatch.Reason
@@ -114,11 +115,20 @@
 // writes a response, net/http reads part of an unread body; the expired read
 // deadline keeps it from waiting for a slow caller.
 func (rs *responder) rejectAndClose(f *pollenlatch.Failure) {
-	rs.writer.Header().Set("Connection", "close")
+	rs.closeAfterResponse()
 	_ = http.NewResponseController(rs.writer).SetReadDeadline(expiredDeadline)
 	rs.writeFailure(f)
 }
 
+// closeAfterResponse closes the connection after this response, which leaves a body
+// unread.
+func (rs *responder) closeAfterResponse() {
+	rs.writer.Header().Set("Connection", "close")
+	if rs.conn != nil {
+		rs.conn.lingerAfterClose()
+	}
+}
+
 var expiredDeadline = time.Unix(1, 0)
 
 func (rs *responder) extendWriteDeadline() {
@@ -233,7 +243,7 @@
 // body would be parsed as the next request.
 func (rs *responder) closeAfterUnreadBody() {
 	if rs.body != nil && !rs.body.fullyRead.Load() {
-		rs.writer.Header().Set("Connection", "close")
+		rs.closeAfterResponse()
 	}
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -242,6 +242,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	rs := &responder{server: s, writer: w, start: now, remote: r.RemoteAddr}
+	if r.ContentLength != 0 {
+		rs.conn, _ = r.Context().Value(lingerKey{}).(lingeringConn)
+	}
 	defer rs.record()
 	var early *earlyRequest
 	moreStarted := false
