--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -121,6 +121,10 @@
 		Control: &d.control, Local: localHandler, Forwarder: node, Picker: pick.New(pick.Config{LocalServer: d.localFreeSlots}), DC: d.cfg.DC, Metrics: d.metrics,
 	}
 	if p := d.cfg.Platform; p != nil {
+		routerCfg.OwnServerFree = func() bool {
+			_, free := d.localFreeSlots()
+			return free > 0
+		}
 		routerCfg.ServiceBudgets = &pick.ServiceBudgets{Ratio: p.RetryBudget.Ratio, Burst: p.RetryBudget.Burst}
 	}
 	router := front.NewRouter(routerCfg)
--- a/front/router.go
+++ b/front/router.go
@@ -39,8 +39,11 @@
 	RetryBudget    *pick.RetryBudget    // for requests without a Route; nil uses the defaults
 	ServiceBudgets *pick.ServiceBudgets // for requests with a Route; nil allows no retry that sends to a second server
 	Clock          pollenlatch.Clock
-	DC             string       // of this instance
-	Metrics        *metrics.Set // nil exports no metrics
+	// OwnServerFree reports whether the local server can run another request now. It then
+	// gets the requests with large bodies; nil: it gets them like any other server.
+	OwnServerFree func() bool
+	DC            string       // of this instance
+	Metrics       *metrics.Set // nil exports no metrics
 }
 
 // Router sends each request to the daemon whose local server is to run it. It
@@ -52,6 +55,7 @@
 	waits          *metrics.Counter // waits for an owner or endpoint
 	throttled      *metrics.Counter // requests refused because their target refuses most of them
 	abandoned      *metrics.Counter // requests not sent because their callers had disconnected
+	ownServer      *metrics.Counter // requests with large bodies that the own server got instead of the picked one
 	throttle       throttle
 	leaving        leavingServers
 }
@@ -77,6 +81,7 @@
 		waits:          cfg.Metrics.GetOrCreateCounter("pollenlatch_front_waits_total"),
 		throttled:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_throttled_total"),
 		abandoned:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_abandoned_total"),
+		ownServer:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_own_server_total"),
 	}
 }
 
@@ -308,7 +313,7 @@
 	if !ok {
 		return pollenlatch.ReasonNoEndpoint, nil
 	}
-	p.target.instance, p.target.done = i, done
+	p.target.instance, p.target.done = p.preferOwnServer(usable, i, done)
 	return "", nil
 }
 
--- a/link/forward.go
+++ b/link/forward.go
@@ -265,6 +265,7 @@
 			}
 			if x.credit != nil {
 				x.session.node.bodyBytes.Add(n)
+				x.session.node.recordReceived(n) // the caller has sent them over the same link
 			}
 		}
 		if errors.Is(err, io.EOF) {
