--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -9,6 +9,7 @@
 	"pollenlatch/ctrl"
 	"pollenlatch/dedup"
 	"pollenlatch/front"
+	"pollenlatch/intake"
 	"pollenlatch/link"
 	"pollenlatch/local"
 	"pollenlatch/pace"
@@ -59,8 +60,11 @@
 		relayCfg.Observe = d.observeServer
 	}
 	d.relay = relay.New(relayCfg)
+	incoming := intake.NewLink(payloadShare * d.cfg.Bandwidth)
 	if d.cfg.Platform != nil {
 		scheduler := admit.NewScheduler().WithPacer(pacer)
+		incoming.OnFree(scheduler.StartWaiting)
+		incoming.Register(d.metrics)
 		d.admitter = scheduler
 		d.cold = newColdGuard(d.control.View, scheduler.SetColdLimit, d.requestHealthCheck)
 	} else {
@@ -73,7 +77,7 @@
 		ReportCleared: d.reportCleared,
 	}
 	if d.cfg.Platform != nil {
-		serveCfg.ReadAheadBytes = readAheadBytes
+		serveCfg.ReadAheadBytes, serveCfg.Intake = readAheadBytes, incoming
 	}
 	d.serve = serve.New(serveCfg)
 	var forwardedHandler, localHandler pollenlatch.Handler = nil, d.serve
@@ -86,7 +90,7 @@
 	node, err := link.New(link.Config{
 		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.incarnation, Key: d.cfg.Key,
 		ControlHandler: d.receive, RequestHandler: forwardedHandler, MaxRequestSessions: d.cfg.MaxSessions, Dial: d.cfg.Dial,
-		Pacer: pacer,
+		Pacer: pacer, RecordReceived: incoming.RecordOther, Metrics: d.metrics,
 	})
 	if err != nil {
 		return err
@@ -118,6 +122,10 @@
 		Control: &d.control, Local: localHandler, Forwarder: node, Picker: pick.New(pick.Config{LocalServer: d.localFreeSlots, ColdRate: d.coldRate}), DC: d.cfg.DC, Metrics: d.metrics,
 	}
 	if p := d.cfg.Platform; p != nil {
+		routerCfg.OwnServerFree = func() bool {
+			_, free := d.localFreeSlots()
+			return free > 0
+		}
 		routerCfg.ServiceBudgets = &pick.ServiceBudgets{Ratio: p.RetryBudget.Ratio, Burst: p.RetryBudget.Burst}
 	}
 	router := front.NewRouter(routerCfg)
--- a/interfaces.go
+++ b/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -50,6 +51,9 @@
 	SoftDeadline time.Time // end of the latency objective; zero when there is none
 	Nested       bool      // sent by a server while it runs another request
 	Bulk         bool      // the response is large, and is paced on the link
+	// Body is the large body of the request, which is admitted to the network link
+	// together with the request; nil when there is none to wait for.
+	Body IncomingBody
 }
 
 // Admitter admits requests to the local server.
@@ -135,6 +139,48 @@
 	End()
 }
 
+// Intake schedules the bodies of large requests on the network link to this instance.
+// A body stays at its sender until the request is admitted.
+type Intake interface {
+	// Begin returns the body of a request of a route with its size in bytes, which is -1
+	// when it is unknown, the end of the latency objective, and the deadline. The caller
+	// must call End on the result.
+	Begin(route string, size int64, softDeadline, deadline time.Time) IncomingBody
+}
+
+// IncomingBody is a body that waits at its sender, or is being received.
+type IncomingBody interface {
+	// Queue adds the body to those that wait for the link, and returns when it is likely
+	// to have arrived. runTime is what its request takes afterwards.
+	Queue(runTime time.Duration, now time.Time) (arrival time.Time)
+	// TransferTime returns the time that the rest of the body takes on the link.
+	TransferTime() time.Duration
+	// Arrival returns when a body that waits is likely to have arrived.
+	Arrival(now time.Time) time.Time
+	// MayStart reports whether the body is the next one that may move, and the link
+	// will be free for it.
+	MayStart(now time.Time) bool
+	// Start says that the request is admitted. The body now occupies the link.
+	Start(now time.Time)
+	// Wait returns when the next n bytes may be requested, or with the error of ctx.
+	Wait(ctx context.Context, n int) error
+	// Arrived says that n bytes have arrived.
+	Arrived(n int)
+	// End says that the body has been received completely, or is not received any
+	// further. Only the first call has an effect.
+	End(received bool)
+	// Received returns when the end of the body arrived, or zero if it did not.
+	Received() time.Time
+}
+
+// RequestedBody is a body whose sender sends bytes only when they are requested. Read
+// requests them itself until Request is called for the first time.
+type RequestedBody interface {
+	io.Reader
+	// Request asks the sender for the next n bytes. It does not wait for them.
+	Request(n int) error
+}
+
 // PlanInput is the planner's input.
 type PlanInput struct {
 	View      View
