--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"pollenlatch"
+	"pollenlatch/gauge"
 )
 
 // earlyResponseInterval is the time for which a write may block before the
@@ -45,6 +46,7 @@
 	requestWritten bool                 // the complete request was written
 	rejection      *pollenlatch.Failure // by check, or by the server
 	bodyErr        error                // of reading the request body
+	inFlight       *gauge.Sent          // nil without a Gauge, and before the first byte was sent
 
 	mu        sync.Mutex // guards conn against cancellation
 	conn      *conn
@@ -137,6 +139,9 @@
 		return err
 	}
 	x.requestWritten = true
+	if x.inFlight != nil {
+		x.relay.cfg.Gauge.Written(x.inFlight, time.Now())
+	}
 	return nil
 }
 
@@ -199,6 +204,9 @@
 		n, err := x.conn.Write(b)
 		if n > 0 || err == nil {
 			x.sent = true
+			if g := x.relay.cfg.Gauge; g != nil {
+				x.inFlight = g.Begin(x.sentAt)
+			}
 			return n, err
 		}
 		if !x.conn.reused || x.ctx.Err() != nil || isTimeout(err) {
@@ -241,6 +249,10 @@
 		b.stream = http.NoBody
 	}
 	x.observe(&resp.Header)
+	if x.inFlight != nil {
+		x.relay.cfg.Gauge.End(x.inFlight)
+		x.inFlight = nil
+	}
 	if f := x.refusal(resp.StatusCode(), &resp.Header); f != nil {
 		x.rejection = f
 		b.reusable = b.reusable && x.conn.recordRefusal(x.responseID(&resp.Header))
--- a/relay/platform.go
+++ b/relay/platform.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"pollenlatch"
+	"pollenlatch/gauge"
 	"pollenlatch/quota"
 )
 
@@ -122,9 +123,24 @@
 			signals.SentAt = time.Time{}
 		}
 	}
+	signals.Load = x.load(h)
 	x.relay.cfg.Observe(signals)
 }
 
+// load returns the load that a response states, or nil.
+func (x *exchange) load(h *fasthttp.ResponseHeader) *pollenlatch.ServerLoad {
+	v := h.Peek(x.relay.cfg.Headers.Load)
+	if len(v) == 0 {
+		return nil
+	}
+	l, err := gauge.Parse(string(v))
+	if err != nil {
+		x.relay.invalidLoad.Do(func() { klog.ErrorS(err, "load in a response is ignored", "server", x.conn.serverID) })
+		return nil
+	}
+	return &l
+}
+
 // isLeaving reports whether a response says that its server is leaving.
 func isLeaving(names *pollenlatch.Headers, h *fasthttp.ResponseHeader) bool {
 	v := h.Peek(names.Leaving)
--- a/relay/platform_test.go
+++ b/relay/platform_test.go
@@ -15,7 +15,7 @@
 )
 
 var platformHeaders = pollenlatch.Headers{
-	RequestID: "Id", Deadline: "Left", Key: "Key", Caller: "Caller", ExpectedServer: "Expected", ServerName: "Server", Signature: "Proof", NotRun: "Not-Run", Limit: "Limit", Leaving: "Leaving", Cold: "Cold",
+	RequestID: "Id", Deadline: "Left", Key: "Key", Caller: "Caller", ExpectedServer: "Expected", ServerName: "Server", Signature: "Proof", NotRun: "Not-Run", Load: "Load", Limit: "Limit", Leaving: "Leaving", Cold: "Cold",
 }
 
 func (f *fakeServer) newPlatformRelay(t *testing.T) *Relay {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pollenlatch"
+	"pollenlatch/gauge"
 )
 
 // DefaultMaxRun is the maximum run time for services that have no maxrun.
@@ -34,6 +35,8 @@
 	// Observe is called with the signals of each response by which the server itself
 	// responds to a request; nil ignores them. It needs Headers.
 	Observe func(pollenlatch.ServerSignals)
+	// Gauge is told of the requests at the server; nil: nobody is.
+	Gauge *gauge.Gauge
 }
 
 // Relay implements pollenlatch.Exchanger. SetEndpoint sets the server.
@@ -42,6 +45,7 @@
 	pool         pool
 	invalidLimit sync.Once // logs the first invalid limit
 	invalidCold  sync.Once // logs the first invalid cold state
+	invalidLoad  sync.Once // logs the first invalid load
 }
 
 // DefaultMaxResponseBytes is as large as the largest request body. A server in trouble
@@ -95,6 +99,7 @@
 	if err != nil {
 		f := x.toFailure(err)
 		f.Sent = x.sent
+		x.giveUp(err)
 		x.release(false)
 		return nil, f
 	}
--- a/relay/signal_test.go
+++ b/relay/signal_test.go
@@ -22,6 +22,7 @@
 		limit   float64
 		leaving bool
 		counts  bool // the absence of a limit ends an earlier one
+		load    pollenlatch.ServerLoad
 	}
 	for _, tt := range []struct {
 		name, response string
@@ -38,13 +39,22 @@
 		{"a success without a signature", "HTTP/1.1 200 OK\r\nId: i1\r\nLimit: 7\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nno", nil},
 		{"a late response to another request", strings.Replace(validResponse("i0", "old"), "Proof", "Limit: 7\r\nLeaving: 1\r\nProof", 1) + valid, []signals{{counts: true}}},
 		{"no response", "", nil},
+		{"a load", with("Load: 3,1,12,300"), []signals{{counts: true, load: pollenlatch.ServerLoad{Running: 3, Waiting: 1, Slots: 12, Slowness: 300}}}},
+		{"a load without slowness", with("Load: 3,1,12"), []signals{{counts: true, load: pollenlatch.ServerLoad{Running: 3, Waiting: 1, Slots: 12}}}},
+		{"an invalid load", with("Load: 3,1"), []signals{{counts: true}}},
+		{"a refusal with a load", refusal("Load: 12,48,12,90\r\n"), []signals{{load: pollenlatch.ServerLoad{Running: 12, Waiting: 48, Slots: 12, Slowness: 90}}}},
+		{"a load without a signature", "HTTP/1.1 200 OK\r\nId: i1\r\nLoad: 3,1,12\r\nContent-Length: 2\r\n\r\nno", nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			f := &fakeServer{handle: respondAndClose(tt.response)}
 			relay := f.newPlatformRelay(t)
 			var got []signals
 			relay.cfg.Observe = func(s pollenlatch.ServerSignals) {
-				got = append(got, signals{s.Limit, s.Leaving, !s.SentAt.IsZero()})
+				one := signals{limit: s.Limit, leaving: s.Leaving, counts: !s.SentAt.IsZero()}
+				if s.Load != nil {
+					one.load = *s.Load
+				}
+				got = append(got, one)
 			}
 			_, _ = doExchange(relay, platformRequest())
 			require.Equal(t, tt.want, got)
