--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -46,10 +46,14 @@
 // request is a request that waits for a slot or runs.
 type request struct {
 	pollenlatch.AdmitRequest
-	runTime    time.Duration // typical run time at arrival
+	work       time.Duration // typical run time at a slowness of 1; see schedule.load
+	runTime    time.Duration // typical run time if it starts now
+	longExcess time.Duration // by which a long run exceeds it
 	sendTime   time.Duration // typical time of the response on the network link; 0 when it is not paced
 	bodyTime   time.Duration // time of the large body on the network link at arrival; 0 when there is none
 	started    time.Time     // zero while it waits
+	startClock time.Duration // of the gauge, when it was started
+	predicted  time.Duration // run time by the slowness that the server stated then; 0 without
 	onDecision func(*pollenlatch.Failure)
 }
 
@@ -78,7 +82,7 @@
 // missesObjective reports whether the request misses its objective if its run is a
 // long one. After a typical run it would complete at end.
 func (r *request) missesObjective(end time.Time) bool {
-	return !r.SoftDeadline.IsZero() && end.Add(time.Duration((longRunFactor-1)*float64(r.runTime))).After(r.SoftDeadline)
+	return !r.SoftDeadline.IsZero() && end.Add(r.longExcess).After(r.SoftDeadline)
 }
 
 // effectiveDeadline returns the soft deadline as long as it can be met, and then the
@@ -110,13 +114,14 @@
 	running      map[*request]struct{}
 	waiting      []*request
 	runTimes     map[string]time.Duration // by route
-	offeredSlots float64                  // offered load in slots, over loadWindow
-	offeredLink  float64                  // offered load as a share of the link, over loadWindow
-	offeredBody  float64                  // the same for large bodies on the link into this instance
-	demandSlots  float64                  // offered load in slots, over demandWindow
-	arrivalRate  float64                  // requests a second, over demandWindow
-	refusalRate  float64                  // refused requests a second, over demandWindow
-	decayedAt    time.Time                // time of the last decay of the averages above
+	load         serverLoad
+	offeredSlots float64   // offered load in slots, over loadWindow
+	offeredLink  float64   // offered load as a share of the link, over loadWindow
+	offeredBody  float64   // the same for large bodies on the link into this instance
+	demandSlots  float64   // offered load in slots, over demandWindow
+	arrivalRate  float64   // requests a second, over demandWindow
+	refusalRate  float64   // refused requests a second, over demandWindow
+	decayedAt    time.Time // time of the last decay of the averages above
 }
 
 func (s *schedule) typicalRunTime(route string) time.Duration {
@@ -141,10 +146,11 @@
 // recordArrival adds a request to the averages of the offered load.
 func (s *schedule) recordArrival(r *request, now time.Time) {
 	s.decay(now)
-	s.offeredSlots += r.runTime.Seconds() / loadWindow.Seconds()
+	run := s.meanRunTime(r.Route).Seconds()
+	s.offeredSlots += run / loadWindow.Seconds()
 	s.offeredLink += r.sendTime.Seconds() / loadWindow.Seconds()
 	s.offeredBody += r.bodyTime.Seconds() / loadWindow.Seconds()
-	s.demandSlots += r.runTime.Seconds() / demandWindow.Seconds()
+	s.demandSlots += run / demandWindow.Seconds()
 	s.arrivalRate += 1 / demandWindow.Seconds()
 }
 
@@ -194,15 +200,15 @@
 	return max(s.limiter.Wait(n, now), s.cold.Wait(n, now))
 }
 
-// completionInterval returns the typical time between two completions while all
-// slots are occupied.
+// completionInterval returns the typical work of a slot between two completions while
+// all slots are occupied.
 func (s *schedule) completionInterval(now time.Time) time.Duration {
 	if len(s.running) == 0 {
 		return 0
 	}
 	var sum time.Duration
 	for o := range s.running {
-		sum += max(o.runTime, now.Sub(o.started))
+		sum += max(o.work, s.load.done(o, now))
 	}
 	return sum / time.Duration(len(s.running)) / time.Duration(s.slots)
 }
@@ -216,11 +222,12 @@
 	first := 1 // position of the request in the queue
 	for _, o := range s.waiting {
 		if o != r && o.before(r, now) {
-			ahead += o.runTime
+			ahead += o.work
 			first++
 		}
 	}
-	return now.Add(max(s.completionInterval(now)+ahead/time.Duration(s.slots), s.limitWait(first, now)))
+	ahead = s.completionInterval(now) + ahead/time.Duration(s.slots)
+	return now.Add(max(s.load.outlook.End(0, ahead), s.limitWait(first, now)))
 }
 
 // delayedByCold reports whether the limit of a cold server, and not a lack of slots,
@@ -241,7 +248,7 @@
 // estimateDelivery returns when the response to a request that begins to run at
 // start is likely to have been sent.
 func (s *schedule) estimateDelivery(r *request, start, now time.Time) time.Time {
-	end := r.estimateBody(start, now).Add(r.runTime)
+	end := now.Add(s.load.outlook.End(r.estimateBody(start, now).Sub(now), r.work))
 	if r.sendTime == 0 {
 		return end
 	}
@@ -263,7 +270,9 @@
 // arrive starts, queues or refuses a new request. It also refuses the waiting
 // requests that can no longer meet their deadline because of it.
 func (s *schedule) arrive(r *request, now time.Time) *pollenlatch.Failure {
-	r.runTime = s.typicalRunTime(r.Route)
+	s.updateLoad(now)
+	r.work = s.typicalWork(r.Route)
+	s.load.forecast(r)
 	if r.Bulk && s.pacer != nil {
 		r.sendTime = s.pacer.TypicalTime(r.Route)
 	}
@@ -292,7 +301,7 @@
 // lasting overload its objective.
 func (s *schedule) checkDeadlines(r *request, end, now time.Time) *pollenlatch.Failure {
 	serviceTime := r.serviceTime()
-	wait := end.Sub(now) - serviceTime
+	wait := max(0, end.Sub(now)-serviceTime)
 	if len(s.waiting) >= maxWaiting || end.After(r.Deadline) {
 		return s.refusal(r, wait, now, "the response would miss the deadline")
 	}
@@ -327,6 +336,7 @@
 
 // startWaiting starts waiting requests while there are free slots.
 func (s *schedule) startWaiting(now time.Time) {
+	s.updateLoad(now)
 	for len(s.running) < s.slots && s.limitWait(1, now) == 0 {
 		r := s.popNext(now)
 		if r == nil {
@@ -334,7 +344,7 @@
 		}
 		s.limiter.Take(now)
 		s.cold.Take(now)
-		r.started = now
+		r.started, r.startClock, r.predicted = now, s.load.clock, s.load.predict(r.Route)
 		if r.Body != nil {
 			r.Body.Start(now)
 		}
@@ -392,22 +402,23 @@
 		}
 	})
 	var ahead time.Duration
-	free := now.Add(s.completionInterval(now))
+	free := s.completionInterval(now)
 	kept := s.waiting[:0]
 	var overdue []*request
 	for _, r := range s.waiting {
-		start := later(free.Add(ahead/time.Duration(s.slots)), now.Add(s.limitWait(len(kept)+1, now)))
-		if start.Add(time.Duration(minRunShare * float64(r.runTime))).After(r.Deadline) {
+		start := max(s.load.outlook.End(0, free+ahead/time.Duration(s.slots)), s.limitWait(len(kept)+1, now))
+		end := s.load.outlook.End(start, time.Duration(minRunShare*float64(r.work)))
+		if now.Add(end).After(r.Deadline) {
 			overdue = append(overdue, r)
 			continue
 		}
-		ahead += r.runTime
+		ahead += r.work
 		kept = append(kept, r)
 	}
 	clear(s.waiting[len(kept):])
 	s.waiting = kept
 	for _, r := range overdue {
-		wait := max(free.Sub(now)+ahead/time.Duration(s.slots), s.limitWait(len(kept)+1, now))
+		wait := max(s.load.outlook.End(0, free+ahead/time.Duration(s.slots)), s.limitWait(len(kept)+1, now))
 		r.onDecision(s.refusal(r, wait, now, "more urgent requests arrived"))
 	}
 }
@@ -437,9 +448,7 @@
 		return
 	}
 	delete(s.running, r)
-	if began, ok := r.runBegan(); ok {
-		s.recordRunTime(r.Route, now.Sub(began))
-	}
+	s.recordRun(r, now)
 	s.startWaiting(now)
 }
 
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -6,9 +6,17 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"pollenlatch"
+	"pollenlatch/gauge"
+	"pollenlatch/logs"
 )
 
+// loadLogRate is the maximum number of log lines a second of each kind on the load of the
+// server.
+const loadLogRate = 1
+
 const statusUnavailable = http.StatusServiceUnavailable
 
 // Scheduler is a pollenlatch.Admitter for requests with a latency objective and a
@@ -17,12 +25,18 @@
 type Scheduler struct {
 	mu    sync.Mutex
 	sched schedule
-	wake  *time.Timer // starts waiting requests when the limit allows the next one; nil before the first use
+	slots int // of the server
+
+	slotsLog, slownessLog *logs.Limiter
+	wake                  *time.Timer // starts waiting requests when the limit allows the next one; nil before the first use
 }
 
 // NewScheduler returns a scheduler without slots, which refuses all requests.
 func NewScheduler() *Scheduler {
-	return &Scheduler{sched: schedule{running: make(map[*request]struct{})}}
+	return &Scheduler{
+		sched:    schedule{running: make(map[*request]struct{})},
+		slotsLog: logs.NewLimiter(loadLogRate, 1), slownessLog: logs.NewLimiter(loadLogRate, 1),
+	}
 }
 
 // WithPacer makes the scheduler account for the network link on which large
@@ -32,18 +46,63 @@
 	return s
 }
 
+// WithGauge makes the scheduler account for the load that the server states: its slowness,
+// and the slots that it needs for requests that this daemon does not wait for. It must be
+// called before the first request.
+func (s *Scheduler) WithGauge(g *gauge.Gauge) *Scheduler {
+	s.sched.load.gauge = g
+	return s
+}
+
+// applyLoad applies the load that the server states. The caller holds mu.
+func (s *Scheduler) applyLoad(now time.Time) {
+	g := s.sched.load.gauge
+	if g == nil {
+		return
+	}
+	slots := g.Slots(s.slots, now)
+	if slots == s.sched.slots {
+		return
+	}
+	if suppressed, ok := s.slotsLog.Allow(now); ok {
+		klog.InfoS("requests of others change the free slots of the server", "slots", slots, "before", s.sched.slots, "of", s.slots,
+			"running", len(s.sched.running), "waiting", len(s.sched.waiting), "suppressed", suppressed)
+	}
+	s.sched.slots = slots
+}
+
+// LoadChanged applies a load that the gauge has just observed.
+func (s *Scheduler) LoadChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, before := time.Now(), s.sched.slots
+	s.applyLoad(now)
+	if s.sched.slots > before {
+		s.sched.startWaiting(now)
+		s.setWake(now)
+	}
+}
+
+// UsesSlowness reports whether the slowness that the server states is used.
+func (s *Scheduler) UsesSlowness() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.load.active
+}
+
 // SetSlots sets how many requests the server runs at the same time. 0 means that
 // there is no server, and refuses the waiting requests. Running requests are not
 // affected.
 func (s *Scheduler) SetSlots(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sched.slots = n
+	s.slots, s.sched.slots = n, n
 	if n <= 0 {
 		s.sched.refuseAll(noServer)
 		return
 	}
 	now := time.Now()
+	s.applyLoad(now)
 	s.sched.startWaiting(now)
 	s.setWake(now)
 }
@@ -158,6 +217,7 @@
 		r.Deadline = now.Add(time.Hour)
 	}
 	s.mu.Lock()
+	s.applyLoad(now)
 	f := s.sched.arrive(r, now)
 	s.setWake(now)
 	s.mu.Unlock()
@@ -202,6 +262,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.applyLoad(now)
+	unreliable := s.sched.load.unreliable
 	s.sched.finish(r, now)
+	if load := &s.sched.load; load.unreliable != unreliable {
+		if suppressed, ok := s.slownessLog.Allow(now); ok {
+			klog.InfoS("run times show whether the stated slowness of the server is right", "used", !load.unreliable,
+				"workError", load.workError, "timeError", load.timeError, "stated", load.stated.Present, "suppressed", suppressed)
+		}
+	}
 	s.setWake(now)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"pollenlatch/ctrl"
 	"pollenlatch/dedup"
 	"pollenlatch/front"
+	"pollenlatch/gauge"
 	"pollenlatch/halt"
 	"pollenlatch/link"
 	"pollenlatch/local"
@@ -107,6 +108,7 @@
 	endpointKnown   bool
 	limit           quota.Monitor // of the local server
 	crashes         crash.Monitor
+	gauge           gauge.Gauge // load of the local server
 	recordTransfers pendingCalls[bool]
 	imported        importedRecords
 	eventRequests   pendingCalls[*pollenlatch.EventsReply]
@@ -140,6 +142,12 @@
 	SetLimit(perSecond float64)
 }
 
+// gaugedAdmitter also accounts for the load that the server states.
+type gaugedAdmitter interface {
+	LoadChanged()
+	UsesSlowness() bool
+}
+
 // New assembles a daemon. Run opens its listeners.
 func New(cfg Config) (*Daemon, error) {
 	if cfg.Name == "" || cfg.DC == "" || len(cfg.Voters) == 0 {
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -48,6 +48,7 @@
 func (d *Daemon) useEndpointLocked(e pollenlatch.Endpoint) {
 	if !d.endpointKnown || e.Incarnation != d.endpoint.Incarnation {
 		d.restoreLimitLocked(e.Limit)
+		d.gauge.Reset()
 	}
 	if a, ok := d.admitter.(drainingAdmitter); ok && e.Draining && (!d.endpoint.Draining || d.endpoint.Incarnation != e.Incarnation) {
 		time.AfterFunc(pollenlatch.DrainGrace, func() {
@@ -88,7 +89,13 @@
 	if changed {
 		d.setLimitLocked(limit)
 	}
+	if s.Load != nil {
+		d.gauge.Observe(*s.Load, now)
+	}
 	d.mu.Unlock()
+	if a, ok := d.admitter.(gaugedAdmitter); ok && s.Load != nil {
+		a.LoadChanged()
+	}
 	if s.ColdFor != nil {
 		d.observeCold(s.Incarnation, *s.ColdFor, s.SentAt, now)
 	}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -55,21 +55,19 @@
 		granter, probe = d.local, d.local.Probe
 	}
 	pacer := pace.NewLink(payloadShare * d.cfg.Bandwidth)
-	relayCfg := relay.Config{MaxRun: d.maxRun, Headers: headers}
-	if d.cfg.Platform != nil {
-		relayCfg.Observe = d.observeServer
-	}
-	d.relay = relay.New(relayCfg)
 	incoming := intake.NewLink(payloadShare * d.cfg.Bandwidth)
+	relayCfg := relay.Config{MaxRun: d.maxRun, Headers: headers}
 	if d.cfg.Platform != nil {
-		scheduler := admit.NewScheduler().WithPacer(pacer)
+		scheduler := admit.NewScheduler().WithPacer(pacer).WithGauge(&d.gauge)
 		incoming.OnFree(scheduler.StartWaiting)
 		incoming.Register(d.metrics)
 		d.admitter = scheduler
 		d.cold = newColdGuard(d.control.View, scheduler.SetColdLimit, d.requestHealthCheck)
+		relayCfg.Observe, relayCfg.Gauge = d.observeServer, &d.gauge
 	} else {
 		d.admitter = admit.NewPriorityAdmitter(admit.Config{QueueLimit: d.queueLimit, RateLimit: d.rateLimit})
 	}
+	d.relay = relay.New(relayCfg)
 	d.recordStore = dedup.New(dedup.Config{})
 	serveCfg := serve.Config{
 		Control: &d.control, Admitter: d.admitter, Exchanger: exchangerFunc(d.exchangeCounted), Records: d.recordStore,
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -90,6 +90,14 @@
 		return d.limit.Limit()
 	})
 	d.registerColdMetrics()
+	d.metrics.GetOrCreateGauge("pollenlatch_gauge_slowness", func() float64 { return float64(d.gauge.Slowness(time.Now())) / 100 })
+	d.metrics.GetOrCreateGauge("pollenlatch_gauge_slowness_used", func() float64 {
+		if a, ok := d.admitter.(gaugedAdmitter); ok && a.UsesSlowness() {
+			return 1
+		}
+		return 0
+	})
+	d.metrics.GetOrCreateGauge("pollenlatch_gauge_other_requests", func() float64 { return float64(d.gauge.Others(time.Now())) })
 	d.metrics.GetOrCreateGauge("pollenlatch_link_backlog_seconds", func() float64 { return pacer.Backlog().Seconds() })
 }
 
