--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// ExpectedRun returns how long a request of a route is likely to run if it starts now; 0
+// is unknown.
+func (s *Scheduler) ExpectedRun(route string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.sched.runTimes[route]; !known {
+		return 0
+	}
+	s.sched.updateLoad(time.Now())
+	return s.sched.load.outlook.End(0, s.sched.typicalWork(route))
+}
+
 // UsesSlowness reports whether the slowness that the server states is used.
 func (s *Scheduler) UsesSlowness() bool {
 	s.mu.Lock()
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"pollenlatch"
 	"pollenlatch/admin"
@@ -64,6 +65,7 @@
 		d.admitter = scheduler
 		d.cold = newColdGuard(d.control.View, scheduler.SetColdLimit, d.requestHealthCheck)
 		relayCfg.Observe, relayCfg.Gauge = d.observeServer, &d.gauge
+		relayCfg.ExpectedRun = func(r *pollenlatch.Request) time.Duration { return scheduler.ExpectedRun(r.Route) }
 	} else {
 		d.admitter = admit.NewPriorityAdmitter(admit.Config{QueueLimit: d.queueLimit, RateLimit: d.rateLimit})
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -98,6 +98,7 @@
 		return 0
 	})
 	d.metrics.GetOrCreateGauge("pollenlatch_gauge_other_requests", func() float64 { return float64(d.gauge.Others(time.Now())) })
+	d.metrics.GetOrCreateGauge("pollenlatch_gauge_silent_total", func() float64 { return float64(d.gauge.Silent()) })
 	d.metrics.GetOrCreateGauge("pollenlatch_link_backlog_seconds", func() float64 { return pacer.Backlog().Seconds() })
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -239,6 +239,9 @@
 
 // receiveResponse reads the head of the response.
 func (x *exchange) receiveResponse() (*pollenlatch.Response, error) {
+	if err := x.awaitResponse(); err != nil {
+		return nil, err
+	}
 	resp, err := x.readHead()
 	if err != nil {
 		return nil, err
@@ -327,6 +330,8 @@
 		return failure(outcome, pollenlatch.ReasonCancelled, StatusClientClosedRequest, "request body could not be read to its end: "+x.bodyErr.Error())
 	case x.sent && (errors.Is(err, errOtherRequest) || errors.Is(err, errInvalidResponse)):
 		return failure(outcome, pollenlatch.ReasonInvalidResponse, http.StatusBadGateway, err.Error())
+	case errors.Is(err, errSilent):
+		return failure(outcome, pollenlatch.ReasonConnectionLost, http.StatusGatewayTimeout, err.Error())
 	case x.sent:
 		return failure(outcome, pollenlatch.ReasonConnectionLost, http.StatusBadGateway, err.Error())
 	default:
--- a/relay/inflight.go
+++ b/relay/inflight.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // giveUp records that the exchange has failed with err after bytes were sent. When this
 // daemon has ended it, the server may go on with the request until the deadline that it
@@ -10,9 +13,11 @@
 		return
 	}
 	g, now := x.relay.cfg.Gauge, time.Now()
-	if !isTimeout(err) && x.ctx.Err() == nil && x.bodyErr == nil {
+	silent := errors.Is(err, errSilent)
+	if !silent && !isTimeout(err) && x.ctx.Err() == nil && x.bodyErr == nil {
 		g.End(x.inFlight)
 		return
 	}
 	g.Abandon(x.inFlight, x.runDeadline, now)
+	x.afterSilence(silent, now)
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -179,6 +179,19 @@
 	p.idle = nil
 }
 
+// closeIdleSince closes the connections that have been idle since t. After a
+// request that was sent at t has got no response, the path of these may be broken too.
+func (p *pool) closeIdleSince(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for n < len(p.idle) && !p.idle[n].idleSince.After(t) {
+		_ = p.idle[n].Close()
+		n++
+	}
+	p.idle = p.idle[n:]
+}
+
 // wakeOneLocked wakes the first waiting request. The caller holds mu.
 func (p *pool) wakeOneLocked() {
 	if len(p.waiters) == 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"pollenlatch"
 	"pollenlatch/gauge"
+	"pollenlatch/logs"
 )
 
 // DefaultMaxRun is the maximum run time for services that have no maxrun.
@@ -35,8 +36,12 @@
 	// Observe is called with the signals of each response by which the server itself
 	// responds to a request; nil ignores them. It needs Headers.
 	Observe func(pollenlatch.ServerSignals)
-	// Gauge is told of the requests at the server; nil: nobody is.
+	// Gauge is told of the requests at the server, and finds those to which the server
+	// will not respond; nil waits for each until its deadline.
 	Gauge *gauge.Gauge
+	// ExpectedRun returns how long a request is likely to run; 0 is unknown. It is
+	// required with Gauge.
+	ExpectedRun func(*pollenlatch.Request) time.Duration
 }
 
 // Relay implements pollenlatch.Exchanger. SetEndpoint sets the server.
@@ -46,6 +51,7 @@
 	invalidLimit sync.Once // logs the first invalid limit
 	invalidCold  sync.Once // logs the first invalid cold state
 	invalidLoad  sync.Once // logs the first invalid load
+	silenceLog   *logs.Limiter
 }
 
 // DefaultMaxResponseBytes is as large as the largest request body. A server in trouble
@@ -60,7 +66,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
-	return &Relay{cfg: cfg, pool: pool{dial: cfg.Dial}}
+	return &Relay{cfg: cfg, pool: pool{dial: cfg.Dial}, silenceLog: logs.NewLimiter(silenceLogRate, silenceLogRate)}
 }
 
 // SetEndpoint sets the server to which requests are sent. With the zero Endpoint
