--- a/check.go
+++ b/check.go
@@ -115,9 +115,12 @@
 	return nil
 }
 
+// ValidStatus reports whether a status is that of an HTTP response.
+func ValidStatus(status int) bool { return status >= 100 && status <= 599 }
+
 // Check reports whether the status is a valid HTTP status code.
 func (h *ResponseHead) Check() error {
-	if h.Status < 100 || h.Status > 999 {
+	if !ValidStatus(int(h.Status)) {
 		return fmt.Errorf("status %d is not an HTTP status", h.Status)
 	}
 	return nil
--- a/front/responder.go
+++ b/front/responder.go
@@ -159,7 +159,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	rs.endpoint = resp.OwnerAddr
 	rs.status = int(resp.Status)
-	if resp.Status < http.StatusOK || resp.Status > 999 {
+	if resp.Status < http.StatusOK || !pollenlatch.ValidStatus(int(resp.Status)) {
 		rs.writeFailure(asFailure(errors.New("server responded with invalid status " + strconv.Itoa(int(resp.Status)))))
 		return
 	}
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -440,3 +441,22 @@
 		require.NoError(fx, <-ended)
 	})
 }
+
+// A response with an invalid status must not reach the caller.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []int32{0, 99, 100, 600, 999} {
+		t.Run(strconv.Itoa(int(status)), func(t *testing.T) {
+			respond := func(context.Context, *pollenlatch.Request) (*pollenlatch.Response, error) {
+				resp := okResponse("hello")
+				resp.Status = status
+				return resp, nil
+			}
+			testServer(t, respond, nil, func(fx *serverFixture) {
+				w := fx.send("GET /s/claims/k HTTP/1.1\r\nHost: x\r\n\r\n")
+				require.Equal(fx, 502, w.StatusCode)
+				require.Equal(fx, "unknown", w.Header.Get(headerOutcome))
+				require.Equal(fx, pollenlatch.OutcomeUnknown, (<-fx.recorder).outcome)
+			})
+		})
+	}
+}
--- a/link/malformed_test.go
+++ b/link/malformed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -245,3 +246,23 @@
 		})
 	}
 }
+
+// A forwarded response with an invalid status must not reach the caller.
+func TestForwardInvalidStatus(t *testing.T) {
+	for status, valid := range map[int32]bool{0: false, 99: false, 200: true, 599: true, 600: false, 999: false} {
+		t.Run(strconv.Itoa(int(status)), func(t *testing.T) {
+			client, _, addr := pair(t, func(context.Context, *pollenlatch.Request) (*pollenlatch.Response, error) {
+				resp := response(strings.NewReader("hello"), 5)
+				resp.Status = status
+				return resp, nil
+			})
+			resp, err := client.Forward(t.Context(), addr, request(nil, 0))
+			if !valid {
+				requireFailure(t, err, pollenlatch.OutcomeUnknown, pollenlatch.ReasonConnectionLost)
+				return
+			}
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+		})
+	}
+}
--- a/local/monitor.go
+++ b/local/monitor.go
@@ -98,7 +98,7 @@
 		CloseOnShutdown:       true,
 	}
 	m.client = &fasthttp.Client{
-		Dial:                          cfg.Dial,
+		DialTimeout:                   dialChecked(cfg.Dial),
 		MaxConnsPerHost:               2, // one for probes, one for grants
 		MaxIdemponentCallAttempts:     2, // an idle connection may have been closed
 		NoDefaultUserAgentHeader:      true,
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -291,7 +291,7 @@
 		resp.StreamBody = true
 		resp.SkipBody = x.r.Method == http.MethodHead
 		resp.Header.SetNoDefaultContentType(true)
-		err := resp.ReadLimitBody(x.conn.r, 0)
+		err := readFinal(x.conn.r, resp, 0)
 		if err == nil && resp.StatusCode() == http.StatusSwitchingProtocols {
 			err = errSwitchedProtocols
 		}
@@ -328,7 +328,7 @@
 		return failure(outcome, pollenlatch.ReasonBadRequest, http.StatusBadRequest, x.bodyErr.Error())
 	case x.bodyErr != nil: // not a failure of the server
 		return failure(outcome, pollenlatch.ReasonCancelled, StatusClientClosedRequest, "request body could not be read to its end: "+x.bodyErr.Error())
-	case x.sent && (errors.Is(err, errOtherRequest) || errors.Is(err, errInvalidResponse)):
+	case x.sent && invalidResponse(err):
 		return failure(outcome, pollenlatch.ReasonInvalidResponse, http.StatusBadGateway, err.Error())
 	case errors.Is(err, errSilent):
 		return failure(outcome, pollenlatch.ReasonConnectionLost, http.StatusGatewayTimeout, err.Error())
--- a/relay/health.go
+++ b/relay/health.go
@@ -56,14 +56,14 @@
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err := resp.ReadLimitBody(c.r, maxHealthBytes); err != nil {
+	if err := readFinal(c.r, resp, maxHealthBytes); err != nil {
 		return pollenlatch.ServerSignals{}, fmt.Errorf("health check: %w", err)
 	}
 	return rl.healthSignals(c, resp)
 }
 
 func (rl *Relay) healthSignals(c *conn, resp *fasthttp.Response) (pollenlatch.ServerSignals, error) {
-	if status := resp.StatusCode(); status < http.StatusOK || status > 599 {
+	if status := resp.StatusCode(); status < http.StatusOK {
 		return pollenlatch.ServerSignals{}, fmt.Errorf("%w: status %d", errInvalidHealth, status)
 	}
 	if id := string(resp.Header.Peek(rl.cfg.Headers.ServerName)); id != "" && c.serverID != "" && id != c.serverID {
--- a/relay/health_test.go
+++ b/relay/health_test.go
@@ -28,6 +28,10 @@
 		{"too large", head("200 OK", "Cold: 99999999999\r\n"), nil, false},
 		{"of another server", head("200 OK", "Server: s9\r\nCold: 0\r\n"), nil, true},
 		{"invalid status", head("999 X", "Cold: 0\r\n"), nil, true},
+		{"status 000", head("000 OK", "Cold: 0\r\n"), nil, true},
+		{"status 099", head("099 OK", "Cold: 0\r\n"), nil, true},
+		{"status 600", head("600 OK", "Cold: 0\r\n"), nil, true},
+		{"status 000 after an interim response", "HTTP/1.1 100 X\r\n\r\n" + head("000 OK", "Cold: 0\r\n"), nil, true},
 		{"no response", "", nil, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
