--- a/admit/slowness_test.go
+++ b/admit/slowness_test.go
@@ -23,8 +23,9 @@
 	random bool    // slow spans begin at random, and may follow each other
 	steady bool    // never slow
 	// stated returns the slowness that the server states; nil: it states none.
-	stated   func(slowness uint32, at time.Duration) uint32
-	duration time.Duration // 0 is two minutes
+	stated    func(slowness uint32, at time.Duration) uint32
+	idleGauge bool          // the scheduler knows a gauge, which gets no load
+	duration  time.Duration // 0 is two minutes
 }
 
 // modelResult counts the requests of a model by how they ended.
@@ -64,7 +65,7 @@
 	spans := rand.New(rand.NewPCG(m.seed, 2))
 	h := newHarness(t, slowSlots)
 	g := new(gauge.Gauge)
-	if m.stated != nil {
+	if m.stated != nil || m.idleGauge {
 		h.sched.load.gauge = g
 	}
 	result := modelResult{minTypical: math.Inf(1)}
@@ -232,3 +233,50 @@
 		(<-second)()
 	})
 }
+
+// The begin and the end of a slow span must show in the decisions at once, not after ten
+// runs.
+func TestSlowSpanShowsAtOnce(t *testing.T) {
+	const run = 150 * time.Millisecond
+	g := new(gauge.Gauge)
+	h := newHarness(t, 1)
+	h.sched.load.gauge = g
+	state := func(slowness uint32) { g.Observe(pollenlatch.ServerLoad{Slowness: slowness}, h.now) }
+	slowness := uint32(100)
+	h.runTime = func(*request) time.Duration { return run * time.Duration(slowness) / 100 }
+	for range 20 { // usual spans of 1.8 s, slow ones of 450 ms
+		slowness = 100
+		for n := range 13 {
+			if slowness = 100; n == 12 {
+				slowness = 300
+			}
+			state(slowness)
+			h.offer("r", pollenlatch.ClassNormal, 0, time.Minute)
+			h.advance(run*time.Duration(slowness)/100+time.Millisecond, run)
+		}
+	}
+	objectiveMet := func() bool { // by a request that waits for one other
+		defer func() { h.advance(time.Second, run) }()
+		require.True(t, h.offer("r", pollenlatch.ClassNormal, 0, time.Minute).started)
+		h.now = h.now.Add(time.Millisecond)
+		state(slowness)
+		return h.offer("r", pollenlatch.ClassNormal, 0, 2*run+100*time.Millisecond).refused == nil
+	}
+	slowness = 100
+	state(slowness)
+	require.True(t, objectiveMet())
+	slowness = 300
+	state(slowness)
+	require.False(t, objectiveMet(), "a slow span has begun")
+	slowness = 100
+	state(slowness)
+	require.True(t, objectiveMet(), "the slow span has ended")
+}
+
+// A server that states no load must be served as before.
+func TestServerWithoutLoad(t *testing.T) {
+	m := slowServer{seed: 1, load: 1, duration: 20 * time.Second}
+	want := m.run(t)
+	m.idleGauge = true
+	require.Equal(t, want, m.run(t))
+}
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -158,7 +158,7 @@
 		return 0, 0
 	}
 	running, waiting := d.admitter.Load()
-	return d.control.Self(), int(e.Slots) - running - waiting
+	return d.control.Self(), d.gauge.Slots(int(e.Slots), time.Now()) - running - waiting
 }
 
 func (d *Daemon) queueLimit(service string) int {
--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -9,6 +9,16 @@
 	"pollenlatch"
 )
 
+func newPlatformDaemon(t *testing.T) *Daemon {
+	t.Helper()
+	d, err := New(Config{
+		Name: "a", DC: "howrah", Group: "main", Key: make([]byte, 32), Front: "127.0.0.1:0", Link: "127.0.0.1:0", Voters: []pollenlatch.Member{{Name: "v", Addr: "127.0.0.1:1"}},
+		Platform: &Platform{LocalService: "listing", HeartbeatInterval: time.Second},
+	})
+	require.NoError(t, err)
+	return d
+}
+
 // A daemon that restarts must keep the limit of its server from the first request on,
 // whichever of the state and the server's heartbeat it receives first. The heartbeat
 // does not name the limit.
@@ -31,11 +41,7 @@
 		{"state of an earlier server", &e, other, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			d, err := New(Config{
-				Name: "a", DC: "howrah", Group: "main", Key: make([]byte, 32), Front: "127.0.0.1:0", Link: "127.0.0.1:0", Voters: []pollenlatch.Member{{Name: "v", Addr: "127.0.0.1:1"}},
-				Platform: &Platform{LocalService: "listing", HeartbeatInterval: time.Second},
-			})
-			require.NoError(t, err)
+			d := newPlatformDaemon(t)
 			if tt.known != nil {
 				d.mu.Lock()
 				d.useEndpointLocked(*tt.known)
@@ -48,3 +54,24 @@
 		})
 	}
 }
+
+// The load that one server states must not be taken for that of the next one at its
+// address, and requests that an earlier process of the daemon has sent take up slots.
+func TestLoadOfServer(t *testing.T) {
+	d := newPlatformDaemon(t)
+	e := pollenlatch.Endpoint{Service: "listing", Addr: "127.0.0.1:1", Incarnation: 7, Slots: 9, Ready: true, Heartbeats: true, ID: "s1", StartedAt: 1}
+	d.inheritEndpoint(e)
+	state := func(of pollenlatch.Incarnation) {
+		d.observeServer(pollenlatch.ServerSignals{Incarnation: of, Load: &pollenlatch.ServerLoad{Running: 4, Slots: 9, Slowness: 300}})
+	}
+	state(7)
+	require.EqualValues(t, 300, d.gauge.Slowness(time.Now()))
+	_, free := d.localFreeSlots()
+	require.Equal(t, 5, free)
+	e.Incarnation, e.StartedAt = 8, 2
+	d.Announce(e)
+	state(7)
+	require.Zero(t, d.gauge.Slowness(time.Now()))
+	_, free = d.localFreeSlots()
+	require.Equal(t, 9, free)
+}
