--- a/daemon/cold.go
+++ b/daemon/cold.go
@@ -264,7 +264,13 @@
 	s, err := d.relay.CheckHealth(ctx, svc.HealthPath)
 	now := time.Now()
 	d.cold.recordCheck(err, now)
-	if err == nil && s.ColdFor != nil {
+	if err != nil {
+		return
+	}
+	if s.Load != nil {
+		d.observeHealthLoad(s.Incarnation, *s.Load, now)
+	}
+	if s.ColdFor != nil {
 		d.observeCold(s.Incarnation, *s.ColdFor, sentAt, now)
 	}
 }
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// observeHealthLoad applies the load that the local server states in the response to a
+// health check.
+func (d *Daemon) observeHealthLoad(of pollenlatch.Incarnation, l pollenlatch.ServerLoad, now time.Time) {
+	d.mu.Lock()
+	if of != d.endpoint.Incarnation {
+		d.mu.Unlock()
+		return
+	}
+	d.gauge.ObserveHealth(l, now)
+	d.mu.Unlock()
+	if a, ok := d.admitter.(gaugedAdmitter); ok {
+		a.LoadChanged()
+	}
+}
+
 // maxConnsPerSlot limits the connections to a server that does not announce how
 // many it accepts. At most one for each slot is in use; the others are being
 // replaced.
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -143,10 +143,31 @@
 	}
 }
 
-// Observe records a load that the server has stated.
+// Observe records a load that the server has stated in the response to a request.
 func (g *Gauge) Observe(l pollenlatch.ServerLoad, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	switch {
+	case len(g.sent) != 1:
+	case l.Running+l.Waiting == 0:
+		g.omitsOwn = true
+	case l.Running+l.Waiting == 1:
+		g.countsOwn++
+	}
+	g.observeLocked(l, g.omitsOwn || g.countsOwn < minMissing, now)
+}
+
+// ObserveHealth records a load that the server has stated in the response to a health
+// check.
+func (g *Gauge) ObserveHealth(l pollenlatch.ServerLoad, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observeLocked(l, false, now)
+}
+
+// observeLocked records a load. With omitsOne, the server may not have counted the request
+// to which it responds. The caller holds mu.
+func (g *Gauge) observeLocked(l pollenlatch.ServerLoad, omitsOne bool, now time.Time) {
 	g.advanceLocked(now)
 	if l.Slowness > 0 {
 		g.spans.set(float64(l.Slowness)/100, now)
@@ -162,16 +183,9 @@
 	if len(g.samples) == keptSamples {
 		g.samples = slices.Delete(g.samples, 0, 1)
 	}
-	switch {
-	case len(g.sent) != 1:
-	case held == 0:
-		g.omitsOwn = true
-	case held == 1:
-		g.countsOwn++
-	}
 	missing := arrived - held
-	if g.omitsOwn || g.countsOwn < minMissing {
-		missing-- // the request to which the server responds
+	if omitsOne {
+		missing--
 	}
 	g.samples = append(g.samples, sample{at: now, others: held - len(g.sent), missing: missing})
 }
--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -299,6 +299,26 @@
 	}
 }
 
+// A health check does not tell whether the server counts the request to which it responds.
+func TestHealthDoesNotCalibrate(t *testing.T) {
+	g := new(Gauge)
+	lost := g.Begin(start)
+	g.Written(lost, start)
+	now := start
+	for range 2 * minMissing {
+		now = now.Add(100 * ms)
+		g.ObserveHealth(pollenlatch.ServerLoad{Running: 1, Slots: 9}, now)
+	}
+	require.Zero(t, g.countsOwn)
+	require.False(t, g.Silence(lost, 100*ms, false, now))
+	for range 2 * minMissing {
+		now = now.Add(200 * ms)
+		g.ObserveHealth(pollenlatch.ServerLoad{Slots: 9}, now)
+	}
+	require.False(t, g.omitsOwn)
+	require.True(t, g.Silence(lost, 100*ms, false, now), "the server holds nothing")
+}
+
 // BenchmarkRequest measures what one request costs.
 func BenchmarkRequest(b *testing.B) {
 	g, now := new(Gauge), start
--- a/relay/health.go
+++ b/relay/health.go
@@ -69,7 +69,7 @@
 	if id := string(resp.Header.Peek(rl.cfg.Headers.ServerName)); id != "" && c.serverID != "" && id != c.serverID {
 		return pollenlatch.ServerSignals{}, fmt.Errorf("%w: %.60q", errOtherServer, id)
 	}
-	return pollenlatch.ServerSignals{Incarnation: c.incarnation, ColdFor: rl.coldFor(c, &resp.Header)}, nil
+	return pollenlatch.ServerSignals{Incarnation: c.incarnation, ColdFor: rl.coldFor(c, &resp.Header), Load: rl.load(c, &resp.Header)}, nil
 }
 
 // coldFor returns the time for which a response says that its server stays cold, or nil
--- a/relay/health_test.go
+++ b/relay/health_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
 )
 
 // What a health check says of the cold state must be taken from the server itself and
@@ -40,6 +42,16 @@
 			signals, err := relay.CheckHealth(t.Context(), "/healthz")
 			require.Equal(t, tt.fails, err != nil, "%v", err)
 			require.Equal(t, tt.want, signals.ColdFor)
+			require.Nil(t, signals.Load)
 		})
 	}
 }
+
+// Guards against a load in a health check that is not used: after a restart it is the first
+// that the daemon learns of the requests at the server.
+func TestLoadInHealthCheck(t *testing.T) {
+	f := &fakeServer{handle: respondAndClose("HTTP/1.1 200 OK\r\nLoad: 3,1,12,300\r\nContent-Length: 2\r\n\r\nok")}
+	signals, err := f.newPlatformRelay(t).CheckHealth(t.Context(), "/healthz")
+	require.NoError(t, err)
+	require.Equal(t, &pollenlatch.ServerLoad{Running: 3, Waiting: 1, Slots: 12, Slowness: 300}, signals.Load)
+}
--- a/relay/platform.go
+++ b/relay/platform.go
@@ -123,19 +123,19 @@
 			signals.SentAt = time.Time{}
 		}
 	}
-	signals.Load = x.load(h)
+	signals.Load = x.relay.load(x.conn, h)
 	x.relay.cfg.Observe(signals)
 }
 
 // load returns the load that a response states, or nil.
-func (x *exchange) load(h *fasthttp.ResponseHeader) *pollenlatch.ServerLoad {
-	v := h.Peek(x.relay.cfg.Headers.Load)
+func (rl *Relay) load(c *conn, h *fasthttp.ResponseHeader) *pollenlatch.ServerLoad {
+	v := h.Peek(rl.cfg.Headers.Load)
 	if len(v) == 0 {
 		return nil
 	}
 	l, err := gauge.Parse(string(v))
 	if err != nil {
-		x.relay.invalidLoad.Do(func() { klog.ErrorS(err, "load in a response is ignored", "server", x.conn.serverID) })
+		rl.invalidLoad.Do(func() { klog.ErrorS(err, "load in a response is ignored", "server", c.serverID) })
 		return nil
 	}
 	return &l
