--- a/place/place.go
+++ b/place/place.go
@@ -358,30 +358,43 @@
 
 // fillJoined moves ranges to servers that have joined, up to their quota. The groups
 // are taken evenly from the whole key space, so that busy neighbours are split
-// between the old servers and the new one.
+// between the old servers and the new ones. All servers of a data centre may join at
+// once, so a server that gets ranges gives none, and each gets its part of those that
+// the others had at the beginning.
 func (r *round) fillJoined() {
-	for _, to := range r.servers {
+	var joined, donors []*server
+	total := 0
+	for _, s := range r.servers {
 		// A server that was lost for a moment may have lost all its ranges, or those
-		// that were on their way to it.
-		if r.state.joined[to.id] == to.incarnation && to.numRanges > 0 {
-			continue
-		}
-		if to.cold {
-			continue // it gets its quota once it is warm
-		}
-		r.state.joined[to.id] = to.incarnation
-		if deficit := to.quota - float64(to.numRanges); deficit < max(minJoinDeficit*to.quota, 1) {
-			continue
-		}
-		for _, from := range r.servers {
-			if from == to || from.numRanges == 0 {
+		// that were on their way to it. A cold one gets its quota once it is warm.
+		handled := r.state.joined[s.id] == s.incarnation && s.numRanges > 0
+		if !handled && !s.cold {
+			r.state.joined[s.id] = s.incarnation
+			if s.deficit() >= max(minJoinDeficit*s.quota, 1) {
+				joined = append(joined, s)
 				continue
 			}
-			r.moveGroups(from, to, int(math.Floor(to.quota*float64(from.numRanges)/float64(r.svc.NumRanges()))))
+		}
+		donors = append(donors, s)
+		total += s.numRanges
+	}
+	counts := make([]int, len(donors))
+	for n, from := range donors {
+		counts[n] = from.numRanges
+	}
+	for _, to := range joined {
+		deficit, due, moved := to.deficit(), 0.0, 0
+		for n, from := range donors {
+			// What is not a whole group at one server is left to the next ones.
+			due += deficit * float64(counts[n]) / float64(max(total, 1))
+			moved += r.moveGroups(from, to, int(math.Floor(due))-moved)
 		}
 	}
 }
 
+// deficit returns the number of ranges that a server lacks to its quota.
+func (s *server) deficit() float64 { return s.quota - float64(s.numRanges) }
+
 // movableGroups returns the ranges of a server that are not in a hand-over, by group.
 func (r *round) movableGroups(id pollenlatch.InstanceID) [][]pollenlatch.Owner {
 	var groups [][]pollenlatch.Owner
@@ -398,18 +411,21 @@
 	return groups
 }
 
-// moveGroups moves about n ranges from one server to another, in whole groups.
-func (r *round) moveGroups(from, to *server, n int) {
+// moveGroups moves about n ranges from one server to another, in whole groups. It
+// returns the number of ranges that it has moved.
+func (r *round) moveGroups(from, to *server, n int) (moved int) {
 	groups := r.movableGroups(from.id)
 	if len(groups) == 0 || from.numRanges == 0 {
-		return
+		return 0
 	}
 	numGroups := min(len(groups), int(math.Round(float64(n)*float64(len(groups))/float64(from.numRanges))))
 	for i := range numGroups {
 		for _, o := range groups[i*len(groups)/numGroups] {
 			r.moveRange(o, from, to, reasonJoined)
+			moved++
 		}
 	}
+	return moved
 }
 
 // moveRange moves a range, with its load, from one server to another.
@@ -418,6 +434,7 @@
 	from.numRanges--
 	from.offered = max(0, from.offered-rate*from.runTime)
 	to.addRange(rate)
+	r.owners[o.Range].Next = to.id // it moves once in a plan
 	r.addHandOver(o, to.id, reason)
 }
 
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -209,6 +209,20 @@
 	require.LessOrEqual(t, d.numMoves-d.svc.NumRanges(), d.svc.NumRanges()/4+rangesPerGroup, "more ranges moved than necessary")
 }
 
+// All servers of a data centre may join at once. Guards against plans that move a range
+// to several of them, and against shares that are smaller the later a server's turn is.
+func TestServersThatJoinAtOnce(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.planOnce()
+	for range 7 {
+		d.addServer()
+	}
+	d.planFor(5 * time.Second)
+	for id := range pollenlatch.InstanceID(8) {
+		require.InDelta(t, d.svc.NumRanges()/8, d.rangeCounts()[id+1], rangesPerGroup/2, "server %d", id+1)
+	}
+}
+
 // Guards against a server that gets no ranges for good, because it was lost for a moment
 // right after it had joined, while its first ranges were on their way.
 func TestServerLostWhileItJoins(t *testing.T) {
