--- a/check.go
+++ b/check.go
@@ -16,6 +16,7 @@
 	ErrBadChunk    = errors.New("chunk lies outside its snapshot")
 	ErrBadAddr     = errors.New("address is not host:port with a port from 1 to 65535")
 	ErrBadCommands = errors.New("delta must have plain commands, or compressed ones with their count")
+	ErrLongName    = fmt.Errorf("name has more than %d bytes", MaxDCBytes)
 )
 
 // Check reports whether exactly one kind of message is set and well formed.
@@ -59,6 +60,19 @@
 		}
 	case c.Change != nil:
 		return c.Change.Check()
+	case c.Evacuate != nil:
+		return c.Evacuate.Check()
+	}
+	return nil
+}
+
+// Check reports whether the data centre has a name of a valid length.
+func (e *Evacuate) Check() error {
+	switch {
+	case e.DC == "":
+		return ErrNoName
+	case len(e.DC) > MaxDCBytes:
+		return ErrLongName
 	}
 	return nil
 }
--- a/command.go
+++ b/command.go
@@ -31,8 +31,16 @@
 type Evacuate struct {
 	DC     string `protobuf:"bytes,1,opt,name=dc"`
 	Finish bool   `protobuf:"varint,2,opt,name=finish"` // ends the evacuation
+	ID     uint64 `protobuf:"fixed64,3,opt,name=id"`    // identifies the proposal while it waits for a verdict
+	// Known is the version of the sender's state. An order that does not know the
+	// newest one is rejected: a delayed copy of an order that the operator has sent
+	// again elsewhere must not undo a later one.
+	Known Version `protobuf:"varint,4,opt,name=known"`
 }
 
+// MaxDCBytes is the maximum length of the name of a data centre in an Evacuate.
+const MaxDCBytes = 256
+
 // Divide sets the number of ranges of a numeric service that has not been
 // divided yet. The number is derived from the servers that have joined.
 type Divide struct {
--- a/state/apply.go
+++ b/state/apply.go
@@ -16,7 +16,7 @@
 	// why it changed nothing, or "" when it was applied. It is nil when all items
 	// were applied.
 	ItemRejections []string
-	// Verdict is the decision on a Ticket or a ConfigChange.
+	// Verdict is the decision on a Ticket, a ConfigChange or an Evacuate.
 	Verdict *pollenlatch.Verdict
 	// Instance and Lease are set for a Join, also for a duplicate one whose lease
 	// exists already.
@@ -65,6 +65,8 @@
 		d.divide(c.Divide)
 	case c.Crash != nil:
 		d.crash(c.Crash)
+	case c.Evacuate != nil:
+		d.evacuate(c.Evacuate)
 	case c.Noop != nil:
 	default:
 		d.result.Rejection = "entry holds no command"
--- a/state/instance.go
+++ b/state/instance.go
@@ -197,8 +197,10 @@
 	return ""
 }
 
-// setInstance stores a changed instance and updates the lists of endpoints.
+// setInstance stores a changed instance and updates the lists of endpoints. Whether the
+// instance is evacuated follows from its data centre.
 func (d *draft) setInstance(i instance) {
+	i.Evacuated = d.evacuations.has(i.DC)
 	old := d.instances.get(uint64(i.ID))
 	d.instances = d.instances.with(uint64(i.ID), &i)
 	before, after := listedService(old), listedService(&i)
--- a/state/load.go
+++ b/state/load.go
@@ -32,7 +32,7 @@
 		return nil, err
 	}
 	s := &State{version: msg.Version, lastInstanceID: msg.LastInstanceID, voters: msg.Voters}
-	steps := []func(*snapshotProto) error{s.loadInstances, s.loadServices, s.loadCallers, s.loadTickets, s.loadItems, s.loadSuspects}
+	steps := []func(*snapshotProto) error{s.loadEvacuations, s.loadInstances, s.loadServices, s.loadCallers, s.loadTickets, s.loadItems, s.loadSuspects}
 	for _, step := range steps {
 		if err := step(&msg); err != nil {
 			return nil, err
@@ -72,6 +72,7 @@
 			return fmt.Errorf("instance %d: name %q is used twice", id, i.Instance.Name)
 		}
 		previous = id
+		i.Instance.Evacuated = s.evacuations.has(i.Instance.DC)
 		s.addInstance(&instance{Instance: i.Instance, leaseEndedAt: i.LeaseEndedAt})
 	}
 	return nil
--- a/state/load_test.go
+++ b/state/load_test.go
@@ -33,6 +33,8 @@
 		Voters:  []pollenlatch.Member{{Name: "a", Incarnation: 1, Addr: "127.0.0.1:1"}},
 	})
 	h.ticket(3, "bad", pollenlatch.Spec{Remove: []string{"none"}})
+	h.evacuate("nadia", false)
+	h.evacuate("howrah", false)
 	return h
 }
 
@@ -68,10 +70,13 @@
 			i.ID = 2
 			s.instances = s.instances.with(2, &instance{Instance: i})
 		},
-		"missing record":       func(s *State) { s.tickets.lastNumber++ },
-		"text of another hash": func(s *State) { s.tickets.texts = []string{"x", "", "bad"} },
-		"key of another range": func(s *State) { s.services["listing"].hotKeys = map[string]pollenlatch.Owner{"": {Fence: 1}} },
-		"frozen without owner": func(s *State) { s.services["listing"].pages[0].setNext(9, 2) },
+		"missing record":                  func(s *State) { s.tickets.lastNumber++ },
+		"text of another hash":            func(s *State) { s.tickets.texts = []string{"x", "", "bad"} },
+		"key of another range":            func(s *State) { s.services["listing"].hotKeys = map[string]pollenlatch.Owner{"": {Fence: 1}} },
+		"evacuation later than the state": func(s *State) { s.evacuations.changedAt = s.version + 1 },
+		"evacuations out of order":        func(s *State) { s.evacuations.dcs = []string{"nadia", "howrah"} },
+		"evacuation without a name":       func(s *State) { s.evacuations.dcs = []string{""} },
+		"frozen without owner":            func(s *State) { s.services["listing"].pages[0].setNext(9, 2) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := busyHarness(t).state
@@ -145,6 +150,7 @@
 		{Announce: &pollenlatch.Announce{Instance: 2, Lease: 3, Endpoint: pollenlatch.Endpoint{Service: "claims"}}},
 		{Assign: &pollenlatch.Assign{Items: []pollenlatch.AssignItem{{Shard: keyShard("k", 4), To: 2}, {Shard: rangeShard(1), To: 3, ExpectedFence: 5}}}},
 		{Freeze: &pollenlatch.Freeze{Items: []pollenlatch.FreezeItem{{Shard: rangeShard(2), To: 3, ExpectedFence: 6}}}},
+		{Evacuate: &pollenlatch.Evacuate{DC: "nadia", Finish: true, Known: 100}},
 	} {
 		b, err := pollenlatch.Encode(&c)
 		require.NoError(f, err)
--- a/state/property_test.go
+++ b/state/property_test.go
@@ -27,6 +27,8 @@
 
 const modelBits = 1 // few ranges, so that commands affect the same shards
 
+var modelDCs = []string{"nadia", "howrah"}
+
 var modelKeys = []string{"k0", "k1", "k2", "k3"}
 
 // sentRelease is a release that an owner sent when no request of the shard ran
@@ -50,6 +52,8 @@
 	verdicts  map[string]pollenlatch.Verdict     // by number and text
 	reloaded  *State                             // state after the same log, encoded and loaded at times
 	snapshots map[*State][]byte                  // earlier states with their encodings at the time
+	evacuated map[string]bool                    // data centres
+	ordered   pollenlatch.Version                // version of the newest order that had an effect
 }
 
 func (m *model) apply(c pollenlatch.Command) {
@@ -61,6 +65,7 @@
 		m.checkKey(old, m.h.state, k)
 	}
 	m.checkChanges(old, m.h.state)
+	m.checkEvacuated()
 	for _, i := range old.Instances() {
 		if lease := m.h.lease(i.ID); i.Alive() && lease != i.Lease {
 			require.True(m.h.t, c.Expire != nil && c.Expire.Instance == i.ID && c.Expire.Lease == i.Lease, "lease %d ended without its Expire", i.Lease)
@@ -104,6 +109,38 @@
 	}
 }
 
+// checkEvacuated checks that an instance is evacuated if and only if its data centre is,
+// also in the lists of endpoints.
+func (m *model) checkEvacuated() {
+	for _, i := range m.h.state.Instances() {
+		require.Equal(m.h.t, m.evacuated[i.DC], i.Evacuated, "instance %s in %s", i.Name, i.DC)
+	}
+	for _, i := range m.h.state.Endpoints("listing") {
+		recorded, _ := m.h.state.Instance(i.ID)
+		require.Equal(m.h.t, recorded, i)
+	}
+}
+
+// evacuate orders or withdraws an evacuation, sometimes with a delayed order.
+func (m *model) evacuate(t *rapid.T) {
+	e := &pollenlatch.Evacuate{
+		DC: rapid.SampledFrom(modelDCs).Draw(t, "dc"), Finish: rapid.Bool().Draw(t, "finish"),
+		Known: m.h.state.Version() - pollenlatch.Version(rapid.IntRange(0, 3).Draw(t, "delay")),
+	}
+	if e.Known >= m.ordered && m.evacuated[e.DC] == e.Finish {
+		m.evacuated[e.DC], m.ordered = !e.Finish, m.h.state.Version()+1
+	}
+	m.apply(pollenlatch.Command{Evacuate: e})
+}
+
+// announce announces an endpoint of an instance.
+func (m *model) announce(t *rapid.T) {
+	id := drawInstanceID(t)
+	m.apply(pollenlatch.Command{Announce: &pollenlatch.Announce{
+		Instance: id, Lease: m.h.lease(id), Endpoint: pollenlatch.Endpoint{Service: "listing", Ready: true},
+	}})
+}
+
 // checkKey checks that a command did not decrease a key's fence, and moved the key
 // only from an owner that had lost its lease or stopped serving it.
 func (m *model) checkKey(old, now *State, key string) {
@@ -158,6 +195,7 @@
 	n := rapid.IntRange(1, 3).Draw(t, "name")
 	m.apply(pollenlatch.Command{Join: &pollenlatch.Join{
 		Name:        fmt.Sprint("i", n),
+		DC:          rapid.SampledFrom(modelDCs).Draw(t, "dc"),
 		Incarnation: pollenlatch.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation")),
 	}})
 }
@@ -284,6 +322,7 @@
 			fences:    make(map[string]pollenlatch.Fence),
 			verdicts:  make(map[string]pollenlatch.Verdict),
 			snapshots: make(map[*State][]byte),
+			evacuated: make(map[string]bool),
 		}
 		m.reloaded = m.h.state
 		start := m.h.state
@@ -304,6 +343,8 @@
 			"complete2": m.completeHandOver,
 			"ticket":    m.ticket,
 			"reload":    m.reload,
+			"evacuate":  m.evacuate,
+			"announce":  m.announce,
 		})
 		replay := start
 		for i := range m.log {
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -44,6 +44,8 @@
 	Items          []pollenlatch.ConfigItem `protobuf:"bytes,9,rep,name=items"`
 	Suspects       []pollenlatch.Suspect    `protobuf:"bytes,10,rep,name=suspects"`
 	EndedServers   []endedServerProto       `protobuf:"bytes,11,rep,name=ended"`
+	EvacuatedDCs   []string                 `protobuf:"bytes,12,rep,name=evacuated"`
+	EvacuatedAt    pollenlatch.Version      `protobuf:"varint,13,opt,name=evacuatedat"` // version of the newest change of EvacuatedDCs
 }
 
 // endedServerProto is a server that a Crash has counted.
@@ -97,6 +99,8 @@
 		LastInstanceID: s.lastInstanceID,
 		LastTicket:     s.tickets.lastNumber,
 		Items:          s.itemsWithDeleted(),
+		EvacuatedDCs:   s.evacuations.dcs,
+		EvacuatedAt:    s.evacuations.changedAt,
 	}
 	if s.suspects != nil {
 		msg.Suspects = s.suspects.list
--- a/state/state.go
+++ b/state/state.go
@@ -32,6 +32,7 @@
 	tickets            ticketHistory
 	items              *itemSet    // nil before the first configuration change
 	suspects           *suspectSet // nil before the first Crash
+	evacuations        evacuationSet
 }
 
 // instance is an instance with the version at which its last lease ended.
