--- a/ctrl/control.go
+++ b/ctrl/control.go
@@ -66,6 +66,12 @@
 // process, or 0 when it has not received one yet.
 func (c *Control) JoinVersion() pollenlatch.Version { return c.Access().JoinVersion }
 
+// EvacuatedSince returns since when a data centre may have been evacuated, as far as
+// this process knows, or 0 when it is not evacuated.
+func (c *Control) EvacuatedSince(dc string) pollenlatch.MonoTime {
+	return c.Access().EvacuatedSince[dc]
+}
+
 // View returns the newest state.
 func (c *Control) View() pollenlatch.View { return c.Access().View }
 
--- a/ctrl/event.go
+++ b/ctrl/event.go
@@ -67,12 +67,13 @@
 		OK  bool
 	}
 	// Submitted is a ticket from an operator, or a configuration change when Change
-	// is not nil. DeliverVerdict completes it.
+	// is not nil, or an order when Evacuate is not nil. DeliverVerdict completes it.
 	Submitted struct {
-		Now    pollenlatch.MonoTime
-		ID     uint64
-		Ticket pollenlatch.Ticket
-		Change *pollenlatch.ConfigChange
+		Now      pollenlatch.MonoTime
+		ID       uint64
+		Ticket   pollenlatch.Ticket
+		Change   *pollenlatch.ConfigChange
+		Evacuate *pollenlatch.Evacuate
 	}
 	// ReadIndexRequested asks to wait until the state includes everything that was
 	// committed before the event. ReadIndexReached completes it.
@@ -217,6 +218,10 @@
 	AppliedIndex  uint64 // index of the last log entry that was applied; in a voter
 	Term          uint64 // in a voter
 	LeasesStarted uint64 // since the process started
+	// EvacuatedSince has the evacuated data centres, and for each the time by which its
+	// evacuation was not committed yet as far as this process knows. It must not be
+	// changed.
+	EvacuatedSince map[string]pollenlatch.MonoTime
 }
 
 // State returns the whole state behind View, or nil when View is another type.
--- a/ctrl/holder.go
+++ b/ctrl/holder.go
@@ -82,6 +82,10 @@
 	noLeaderReplies   int                  // replies that named no other leader, since the lease was last extended
 	notGrantedReplies int                  // consecutive replies of a leader that did not grant a lease
 
+	upToDateAt     pollenlatch.MonoTime            // the state had everything that was committed before this time
+	evacuatedSince map[string]pollenlatch.MonoTime // by data centre; see Access
+	evacuationsAt  pollenlatch.Version             // version of the evacuations in evacuatedSince
+
 	joinVersion pollenlatch.Version // version of the first state with the Join of this process; 0 until then
 	dirty       bool                // the Access has changed since the last Publish
 }
@@ -96,9 +100,10 @@
 
 // submission is a ticket or change that has no verdict yet.
 type submission struct {
-	ticket pollenlatch.Ticket
-	change *pollenlatch.ConfigChange
-	sentAt pollenlatch.MonoTime
+	ticket   pollenlatch.Ticket
+	change   *pollenlatch.ConfigChange
+	evacuate *pollenlatch.Evacuate
+	sentAt   pollenlatch.MonoTime
 }
 
 func (h *holder) tickHolder() {
@@ -274,6 +279,9 @@
 	if len(m.Voters) > 0 {
 		h.knownVoterAddrs = m.Voters
 	}
+	if m.Version <= h.state.Version() {
+		h.upToDateAt = max(h.upToDateAt, h.ownLease.SentAt(m.Seq))
+	}
 	h.dirty = true
 	previous := h.activeLease
 	h.activateLease()
@@ -524,12 +532,18 @@
 	if h.submissions == nil {
 		h.submissions = make(map[uint64]*submission)
 	}
-	h.submissions[e.ID] = &submission{ticket: e.Ticket, change: e.Change, sentAt: h.now}
+	h.submissions[e.ID] = &submission{ticket: e.Ticket, change: e.Change, evacuate: e.Evacuate, sentAt: h.now}
 	h.sendProposal(e.ID, h.submissions[e.ID])
 }
 
 func (h *holder) sendProposal(id uint64, s *submission) {
-	h.send(h.requestAddr(), &pollenlatch.Message{Propose: &pollenlatch.Propose{Seq: id ^ h.seqMask(), Ticket: s.ticket, Change: s.change}})
+	m := &pollenlatch.Propose{Seq: id ^ h.seqMask(), Ticket: s.ticket, Change: s.change}
+	if s.evacuate != nil {
+		order := *s.evacuate
+		order.ID, order.Known = m.Seq, h.state.Version()
+		m.Evacuate = &order
+	}
+	h.send(h.requestAddr(), &pollenlatch.Message{Propose: m})
 }
 
 // seqMask distinguishes the sequence numbers of this process from those of an
@@ -612,7 +626,7 @@
 		return Access{}, false
 	}
 	r.dirty = false
-	a = Access{View: r.state, Closed: r.closed, InForce: r.holder.inForceVersion, LeasesStarted: r.leasesStarted}
+	a = Access{View: r.state, Closed: r.closed, InForce: r.holder.inForceVersion, LeasesStarted: r.leasesStarted, EvacuatedSince: r.evacuatedSince}
 	if self, ok := r.state.InstanceByName(r.cfg.Self.Name); ok {
 		a.Self = self.ID
 		if r.joinVersion == 0 && self.Incarnation == r.cfg.Self.Incarnation {
--- a/ctrl/leader.go
+++ b/ctrl/leader.go
@@ -286,15 +286,15 @@
 
 // overdueCancellations returns the commands that cancel hand-overs which take longer
 // than maxHandOverTime. The owner keeps the shard with a new fence. An owner whose
-// endpoint is leaving does not: it must receive no new work, so the shard waits until
-// its last request has ended.
+// endpoint is leaving, or whose data centre is evacuated, does not: it must receive no
+// new work, so the shard waits until its last request has ended.
 func (v *voter) overdueCancellations() []*pollenlatch.Command {
 	var items []pollenlatch.FreezeItem
 	for shard, ho := range v.activeHandOvers {
 		if v.now.Sub(ho.since) < maxHandOverTime {
 			continue
 		}
-		if o, ok := v.state.ShardOwner(shard); ok && o.Frozen() && o.Instance != 0 && o.Next != o.Instance && !v.isDraining(o.Instance) {
+		if o, ok := v.state.ShardOwner(shard); ok && o.Frozen() && o.Instance != 0 && o.Next != o.Instance && !v.mustHandOver(o.Instance) {
 			items = append(items, pollenlatch.FreezeItem{Shard: shard, To: o.Instance, ExpectedFence: o.Fence})
 		}
 	}
@@ -306,10 +306,11 @@
 	return commands
 }
 
-// isDraining reports whether the endpoint of an instance is leaving.
-func (v *voter) isDraining(id pollenlatch.InstanceID) bool {
+// mustHandOver reports whether the endpoint of an instance is leaving, or its data
+// centre is evacuated.
+func (v *voter) mustHandOver(id pollenlatch.InstanceID) bool {
 	i, ok := v.state.Instance(id)
-	return ok && i.Endpoint != nil && i.Endpoint.Draining
+	return ok && (i.Evacuated || (i.Endpoint != nil && i.Endpoint.Draining))
 }
 
 // logMoves logs the planned moves, with one line for each service, source, target
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -197,6 +197,12 @@
 	return l.submit(ctx, Submitted{Change: c})
 }
 
+// SubmitEvacuation proposes the evacuation of a data centre, or its end, and waits for
+// the verdict, like Submit.
+func (l *Loop) SubmitEvacuation(ctx context.Context, e *pollenlatch.Evacuate) (pollenlatch.Verdict, error) {
+	return l.submit(ctx, Submitted{Evacuate: e})
+}
+
 // WaitReadIndex waits until the published view includes everything that was committed
 // before the call. It returns the cause of ctx's end when that takes too long.
 func (l *Loop) WaitReadIndex(ctx context.Context) error {
--- a/ctrl/metrics.go
+++ b/ctrl/metrics.go
@@ -38,6 +38,7 @@
 		}
 		return float64(len(s.Quarantined()))
 	})
+	gauge("evacuated_dcs", func(a *Access) float64 { return float64(len(a.EvacuatedSince)) })
 	gauge("in_flight", func(*Access) float64 { return float64(l.Control.InFlight()) })
 	gauge("events_waiting", func(*Access) float64 { return float64(len(l.events)) })
 	gauge("lease_left_seconds", func(a *Access) float64 { return max(0, a.LeaseEnd.Sub(l.Clock.Now()).Seconds()) })
--- a/ctrl/reducer.go
+++ b/ctrl/reducer.go
@@ -229,6 +229,7 @@
 	}
 	r.state = s
 	r.dirty = true
+	r.updateEvacuations()
 }
 
 // KeyOf returns the key of a shard under its present assignment.
--- a/ctrl/voter.go
+++ b/ctrl/voter.go
@@ -341,6 +341,8 @@
 		}
 	case c.Change != nil && result.Verdict != nil:
 		v.replyToWaiters(changeKey(c.Change), *result.Verdict)
+	case c.Evacuate != nil && result.Verdict != nil:
+		v.replyToWaiters(evacuateKey(c.Evacuate), *result.Verdict)
 	case c.Ticket != nil && result.Verdict != nil:
 		v.replyToWaiters(submissionKey{c.Ticket.Number, c.Ticket.Text}, *result.Verdict)
 		if result.Verdict.Accepted && v.ticketVersion < result.Verdict.Version {
@@ -427,6 +429,10 @@
 		v.onChange(from, p, reply)
 		return
 	}
+	if p.Evacuate != nil {
+		v.onEvacuate(from, p, reply)
+		return
+	}
 	if verdict, ok := v.state.Decided(&p.Ticket); ok {
 		reply(verdict)
 		return
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -111,6 +111,15 @@
 	return h.seq
 }
 
+// SentAt returns the sending time of a request, or 0 when it is no longer known.
+func (h *Holder) SentAt(seq uint64) pollenlatch.MonoTime {
+	renewal := h.sent[seq%maxSentRenewals]
+	if renewal.seq != seq {
+		return 0
+	}
+	return renewal.sentAt
+}
+
 // Extend handles a reply: the lease expires ttl after the sending of request seq. It
 // returns false for a reply to an unknown request, or with an older lease.
 func (h *Holder) Extend(seq uint64, l pollenlatch.Lease, ttl time.Duration) bool {
--- a/message.go
+++ b/message.go
@@ -105,11 +105,13 @@
 	Offset  uint64  `protobuf:"varint,2,opt,name=offset"` // bytes
 }
 
-// Propose asks the leader to decide on a ticket, or on a configuration change.
+// Propose asks the leader to decide on a ticket, a configuration change or the
+// evacuation of a data centre.
 type Propose struct {
-	Seq    uint64        `protobuf:"varint,1,opt,name=seq"`
-	Ticket Ticket        `protobuf:"bytes,2,opt,name=ticket"`
-	Change *ConfigChange `protobuf:"bytes,3,opt,name=change"`
+	Seq      uint64        `protobuf:"varint,1,opt,name=seq"`
+	Ticket   Ticket        `protobuf:"bytes,2,opt,name=ticket"`
+	Change   *ConfigChange `protobuf:"bytes,3,opt,name=change"`
+	Evacuate *Evacuate     `protobuf:"bytes,4,opt,name=evacuate"`
 }
 
 // ReadIndex asks the leader for a version that includes everything committed
@@ -130,8 +132,8 @@
 	Verdict Verdict `protobuf:"bytes,2,opt,name=verdict" json:"verdict"`
 }
 
-// Verdict is the decision on a ticket or a configuration change. The same ticket
-// always gets the same verdict.
+// Verdict is the decision on a ticket, a configuration change or an evacuation. The same
+// ticket always gets the same verdict.
 type Verdict struct {
 	Number   uint64   `protobuf:"varint,1,opt,name=number" json:"number"`
 	Accepted bool     `protobuf:"varint,2,opt,name=accepted" json:"accepted"`
