--- a/place/place.go
+++ b/place/place.go
@@ -19,6 +19,7 @@
 	reasonLost       = "owner lost"
 	reasonReturned   = "owner is back"
 	reasonLeaving    = "owner is leaving"
+	reasonEvacuated  = "data centre of the owner is evacuated"
 	reasonCancel     = "target of the hand-over is not usable"
 	reasonJoined     = "server has joined"
 	reasonOverloaded = "owner is overloaded"
@@ -147,10 +148,12 @@
 	servers []*server           // sorted by ID
 	byID    map[pollenlatch.InstanceID]*server
 	moves   []pollenlatch.Move
+
+	evacuated map[pollenlatch.InstanceID]bool // endpoints in evacuated data centres
 }
 
 func newRound(in pollenlatch.PlanInput, lister shardLister, svc pollenlatch.Service, state *serviceState) *round {
-	r := &round{in: in, svc: svc, state: state, byID: make(map[pollenlatch.InstanceID]*server)}
+	r := &round{in: in, svc: svc, state: state, byID: make(map[pollenlatch.InstanceID]*server), evacuated: make(map[pollenlatch.InstanceID]bool)}
 	r.owners = make([]pollenlatch.Owner, 0, svc.NumRanges())
 	lister.EachShard(svc.Name, func(o pollenlatch.Owner) bool {
 		if o.Key == "" {
@@ -160,6 +163,12 @@
 	})
 	total := 0.0
 	for _, i := range in.View.Endpoints(svc.Name) {
+		if i.Evacuated {
+			// It gets its share of the ranges again when the evacuation ends, also if it
+			// has kept some.
+			delete(state.joined, i.ID)
+			r.evacuated[i.ID] = true
+		}
 		if !i.Usable() {
 			continue
 		}
@@ -351,7 +360,11 @@
 				to.keyRanges++
 			}
 			to.addRange(r.rates[o.Range])
-			r.addHandOver(o, to.id, reasonLeaving)
+			reason := reasonLeaving
+			if r.evacuated[o.Instance] {
+				reason = reasonEvacuated
+			}
+			r.addHandOver(o, to.id, reason)
 		}
 	}
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -174,6 +174,16 @@
 		require.Equal(t, reasonLeaving, moves[0].Reason)
 		require.Zero(t, d.rangeCounts()[2])
 	})
+	t.Run("evacuated", func(t *testing.T) {
+		d := newDeployment(t, 4)
+		d.planOnce()
+		owned := d.rangeCounts()[2]
+		d.servers[1].Evacuated = true
+		moves := d.planOnce()
+		require.Len(t, moves, owned)
+		require.Equal(t, reasonEvacuated, moves[0].Reason)
+		require.Zero(t, d.planFor(5*time.Second), "ranges return during the evacuation")
+	})
 	t.Run("back before its ranges have another owner", func(t *testing.T) {
 		d := newDeployment(t, 4)
 		d.planOnce()
@@ -238,6 +248,58 @@
 	require.InDelta(t, d.svc.NumRanges()/4, d.rangeCounts()[id], rangesPerGroup)
 }
 
+// Evacuations, one after the other and together with the loss of a server. Ranges that
+// stay at evacuated servers get no service, and servers without ranges after the
+// withdrawal are idle.
+func TestEvacuation(t *testing.T) {
+	d := newDeployment(t, 8) // servers 1 to 4 and 5 to 8 are in two data centres
+	d.planOnce()
+	evacuate := func(first, last int, evacuated bool) {
+		for n := first - 1; n < last; n++ {
+			d.servers[n].Evacuated = evacuated
+		}
+	}
+	fair := func(ids ...pollenlatch.InstanceID) {
+		t.Helper()
+		for _, id := range ids {
+			require.GreaterOrEqual(t, float64(d.rangeCounts()[id]), (1-minJoinDeficit)*float64(d.svc.NumRanges()/len(ids)), "server %d: %v", id, d.rangeCounts())
+		}
+	}
+	evacuate(1, 3, true)
+	d.planOnce()
+	fair(4, 5, 6, 7, 8)
+	d.servers[7].Lease = 0
+	for n := range d.owners {
+		if d.owners[n].Instance == 8 {
+			d.owners[n].Previous, d.owners[n].Instance = 8, 0
+		}
+	}
+	d.servers[6].Endpoint.Draining = true
+	evacuate(5, 6, true)
+	d.planOnce()
+	require.Equal(t, map[pollenlatch.InstanceID]int{4: d.svc.NumRanges()}, d.rangeCounts(), "only server 4 is usable")
+	evacuate(4, 4, true)
+	require.Empty(t, d.planOnce(), "no server is usable")
+	evacuate(1, 6, false)
+	d.servers[6].Endpoint.Draining = false
+	d.servers[7].Lease = 1
+	d.planFor(10 * time.Second)
+	fair(1, 2, 3, 4, 5, 6, 7, 8)
+
+	t.Run("withdrawn before all ranges are handed over", func(t *testing.T) {
+		evacuate(1, 1, true)
+		before := d.rangeCounts()[1]
+		moves := d.planner.Plan(pollenlatch.PlanInput{View: d, Loads: d.loads(), Now: d.now})
+		require.Len(t, moves, before)
+		for _, m := range moves[:len(moves)-1] {
+			d.owners[m.Range].Instance = m.To
+		}
+		evacuate(1, 1, false)
+		d.planFor(10 * time.Second)
+		require.InDelta(t, d.svc.NumRanges()/8, d.rangeCounts()[1], rangesPerGroup/2)
+	})
+}
+
 // Unequal load that all servers can handle must not cause moves: a move costs
 // callers more than it gains.
 func TestLoadBelowCapacity(t *testing.T) {
--- a/plan/assign.go
+++ b/plan/assign.go
@@ -15,6 +15,7 @@
 	reasonLost       = "owner lost"
 	reasonReturned   = "owner is back"
 	reasonLeaving    = "owner is leaving"
+	reasonEvacuated  = "data centre of the owner is evacuated"
 	reasonCancel     = "target of the hand-over is not usable"
 )
 
@@ -139,10 +140,10 @@
 }
 
 // awaitsRestart reports whether the shards of an instance wait for its graceful
-// restart.
+// restart. In an evacuated data centre it would not be usable afterwards.
 func (r *round) awaitsRestart(id pollenlatch.InstanceID) bool {
 	t := r.p.trackers[id]
-	if t == nil || (!t.draining && !t.restarting) {
+	if t == nil || t.evacuated || (!t.draining && !t.restarting) {
 		return false
 	}
 	wait := r.p.cfg.restartWait(r.weights, r.state.restartTime)
@@ -237,7 +238,11 @@
 			return
 		}
 		handOversLeft--
-		r.addHandOver(o, c, reasonLeaving, r.weights.Unavailable*r.rateShare(o.rate))
+		reason := reasonLeaving
+		if t.evacuated {
+			reason = reasonEvacuated
+		}
+		r.addHandOver(o, c, reason, r.weights.Unavailable*r.rateShare(o.rate))
 	}
 }
 
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -109,6 +109,49 @@
 	require.Equal(t, again[0].From, again[0].To)
 }
 
+// The shards of an evacuated data centre must move at once, also while its servers
+// restart, and must be able to return afterwards: an evacuation is no fault of the
+// endpoints, so it must not count against them.
+func TestEvacuation(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarting %v", restarts), func(t *testing.T) {
+			s := newService(pollenlatch.Weights{})
+			var p plan.Planner
+			w := newAssignedWorld(t, &p, s, 8)
+			if restarts {
+				w.Announce(1, true, true)
+				w.Announce(5, true, true)
+				p.Plan(pollenlatch.PlanInput{View: w, Now: second})
+			}
+			w.Evacuate("dc0", true) // endpoints 1 and 5
+			owned := w.OwnedCount(1, s.Name) + w.OwnedCount(5, s.Name)
+			moves := p.Plan(pollenlatch.PlanInput{View: w, Now: 2 * second})
+			require.Len(t, moves, owned)
+			for _, m := range moves {
+				require.Contains(t, []pollenlatch.InstanceID{1, 5}, m.From)
+				require.NotContains(t, []pollenlatch.InstanceID{1, 5}, m.To)
+				require.NotContains(t, m.Reason, "leaving", "an evacuated server is reported as leaving")
+			}
+			applyMoves(w, moves)
+			w.Rejoin(1)
+			w.Rejoin(5)
+			w.Evacuate("dc1", true) // endpoints 2 and 6
+			applyMoves(w, p.Plan(pollenlatch.PlanInput{View: w, Now: 3 * second}))
+			for _, id := range []pollenlatch.InstanceID{1, 2, 5, 6} {
+				require.Zero(t, w.OwnedCount(id, s.Name), "endpoint %d", id)
+			}
+			for n := range 3 {
+				w.Evacuate("dc0", n == 1)
+				applyMoves(w, p.Plan(pollenlatch.PlanInput{View: w, Now: (4 + pollenlatch.MonoTime(n)) * second}))
+			}
+			w.Expire(3)
+			moves = p.Plan(pollenlatch.PlanInput{View: w, Now: 8 * second})
+			applyMoves(w, moves)
+			require.Positive(t, w.OwnedCount(1, s.Name)+w.OwnedCount(5, s.Name), "the endpoints count as unreliable after their evacuation")
+		})
+	}
+}
+
 // Moves whose gain is below their cost are useless churn.
 func TestBalanceHasHysteresis(t *testing.T) {
 	s := newService(pollenlatch.Weights{Imbalance: 1, Churn: 5, Unavailable: 1})
--- a/plan/tracker.go
+++ b/plan/tracker.go
@@ -13,7 +13,8 @@
 	usable          bool
 	usableChangedAt pollenlatch.MonoTime // when usable last changed
 	draining        bool                 // the endpoint announced that it is leaving
-	penalty         float64              // number of times that it became unusable without draining, decayed up to penalisedAt
+	evacuated       bool                 // its data centre is evacuated
+	penalty         float64              // number of times that it became unusable for no known reason, decayed up to penalisedAt
 	penalisedAt     pollenlatch.MonoTime
 	alive           bool
 	restarting      bool                 // it stopped gracefully and is not usable again yet
@@ -57,19 +58,19 @@
 			t.usableChangedAt = now
 		}
 	case usable != t.usable:
-		if !usable && !leaves {
+		if !usable && !leaves && !i.Evacuated {
 			t.penalty = t.flapPenalty(now) + 1
 			t.penalisedAt = now
 		}
 		t.usable = usable
 		t.usableChangedAt = now
 	}
-	t.draining = leaves
+	t.draining, t.evacuated = leaves, i.Evacuated
 	return restart
 }
 
 // flapPenalty returns the decayed number of times that the endpoint became unusable
-// without draining.
+// without draining and without an evacuation of its data centre.
 func (t *tracker) flapPenalty(now pollenlatch.MonoTime) float64 {
 	return t.penalty * math.Exp2(-now.Sub(t.penalisedAt).Seconds()/flapHalfLife.Seconds())
 }
--- a/trial/state.go
+++ b/trial/state.go
@@ -67,6 +67,16 @@
 	st.instances[id-1].Endpoint = &e
 }
 
+// Evacuate starts or ends the evacuation of a data centre.
+func (st *State) Evacuate(dc string, evacuated bool) {
+	st.version++
+	for n := range st.instances {
+		if st.instances[n].DC == dc {
+			st.instances[n].Evacuated = evacuated
+		}
+	}
+}
+
 // Rejoin gives an instance a new lease and makes its endpoint usable.
 func (st *State) Rejoin(id pollenlatch.InstanceID) {
 	st.Announce(id, true, false)
