--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -119,12 +119,15 @@
 	s.setWake(now)
 }
 
-// RefuseWaiting refuses the waiting requests, since the server is draining: the router
-// sends them to other servers while there is time. Running requests are not affected.
-func (s *Scheduler) RefuseWaiting() {
+// RefuseDraining refuses the waiting requests, since the server is draining.
+func (s *Scheduler) RefuseDraining() { s.RefuseWaiting(serverDraining) }
+
+// RefuseWaiting refuses the waiting requests: the router sends them to other servers
+// while there is time. Running requests are not affected.
+func (s *Scheduler) RefuseWaiting(newFailure func() *pollenlatch.Failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sched.refuseAll(serverDraining)
+	s.sched.refuseAll(newFailure)
 }
 
 // SetLimit sets how many requests a second the server accepts; 0 is no limit.
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -51,12 +51,13 @@
 
 // PlatformLimits are the requirements of a platform. A limit of 0 is not set.
 type PlatformLimits struct {
-	MaxGrantTTL time.Duration `yaml:"hold"`   // maximum time for which a server keeps its grants after a heartbeat
-	Drain       time.Duration `yaml:"drain"`  // time after which a leaving server receives no requests
-	KillGrace   time.Duration `yaml:"grace"`  // time from the signal to stop until the process is killed
-	RetryWindow time.Duration `yaml:"window"` // window in which retries are counted
-	RetryRatio  float64       `yaml:"share"`  // retries allowed in a window for each request of a service
-	RetryBurst  float64       `yaml:"slack"`  // additional retries of a service allowed in a window, for all daemons together
+	MaxGrantTTL time.Duration `yaml:"hold"`     // maximum time for which a server keeps its grants after a heartbeat
+	Drain       time.Duration `yaml:"drain"`    // time after which a leaving server receives no requests
+	KillGrace   time.Duration `yaml:"grace"`    // time from the signal to stop until the process is killed
+	Evacuation  time.Duration `yaml:"evacuate"` // time after the acknowledgement of an evacuation from which the servers get no requests
+	RetryWindow time.Duration `yaml:"window"`   // window in which retries are counted
+	RetryRatio  float64       `yaml:"share"`    // retries allowed in a window for each request of a service
+	RetryBurst  float64       `yaml:"slack"`    // additional retries of a service allowed in a window, for all daemons together
 }
 
 // Contact is a voter to contact: its name and link address.
--- a/conf/platform_test.go
+++ b/conf/platform_test.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// The names of the limits are fixed by deploy/settings.yaml.
+func TestPlatformLimits(t *testing.T) {
+	text := platformSettings + "bounds: {hold: 10000ms, drain: 2000ms, evacuate: 5000ms}\n"
+	s, err := Parse("x.yaml", []byte(text))
+	require.NoError(t, err)
+	require.Equal(t, PlatformLimits{MaxGrantTTL: 10 * time.Second, Drain: 2 * time.Second, Evacuation: 5 * time.Second}, s.PlatformLimits)
+}
+
 // Invalid settings must be rejected at the start, with the name of the field.
 func TestInvalidPlatformSettings(t *testing.T) {
 	for _, tt := range []struct{ name, old, replacement, want string }{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"pollenlatch/crash"
 	"pollenlatch/ctrl"
 	"pollenlatch/dedup"
+	"pollenlatch/evac"
 	"pollenlatch/front"
 	"pollenlatch/gauge"
 	"pollenlatch/halt"
@@ -95,6 +96,7 @@
 	serve          *serve.Server
 	front          *front.Server
 	admin          *admin.Server
+	evacuation     evac.Rule     // for evacuated data centres
 	events         burn.Counter  // for the service-level report
 	rates          sketch.Sketch // request rates of ranges and keys
 	startedAt      time.Time
@@ -132,9 +134,11 @@
 	SetSlots(n int)
 }
 
-// drainingAdmitter also gives up the requests that wait for a draining server.
+// drainingAdmitter also gives up the requests that wait for a draining server, or for
+// another reason.
 type drainingAdmitter interface {
-	RefuseWaiting()
+	RefuseDraining()
+	RefuseWaiting(newFailure func() *pollenlatch.Failure)
 }
 
 // limitedAdmitter also keeps a limit that the server names.
@@ -271,6 +275,9 @@
 // startTasks starts the background tasks, which run until ctx ends.
 func (d *Daemon) startTasks(ctx context.Context) {
 	go stall.New(d.metrics).Run(ctx)
+	if d.cfg.Front != "" {
+		go d.watchEvacuation(ctx)
+	}
 	if d.cfg.Platform != nil {
 		d.startPlatformTasks(ctx)
 		return
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -53,7 +53,7 @@
 	if a, ok := d.admitter.(drainingAdmitter); ok && e.Draining && (!d.endpoint.Draining || d.endpoint.Incarnation != e.Incarnation) {
 		time.AfterFunc(pollenlatch.DrainGrace, func() {
 			if current, _ := d.localServer(); current.Incarnation == e.Incarnation {
-				a.RefuseWaiting()
+				a.RefuseDraining()
 			}
 		})
 	}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -55,6 +55,7 @@
 		d.local = local.New(local.Config{Observer: d})
 		granter, probe = d.local, d.local.Probe
 	}
+	d.evacuation = d.newEvacuationRule()
 	pacer := pace.NewLink(payloadShare * d.cfg.Bandwidth)
 	incoming := intake.NewLink(payloadShare * d.cfg.Bandwidth)
 	relayCfg := relay.Config{MaxRun: d.maxRun, Headers: headers}
@@ -75,6 +76,7 @@
 		Control: &d.control, Admitter: d.admitter, Exchanger: exchangerFunc(d.exchangeCounted), Records: d.recordStore,
 		Endpoint: d.localServer, Probe: probe, FrontAddr: d.cfg.Front, Metrics: d.metrics, Grants: grants, Crashes: &d.crashes,
 		ReportCleared: d.reportCleared,
+		Evacuated:     func(sharded bool) bool { return d.evacuation.Refuses(d.cfg.DC, sharded) },
 	}
 	if d.cfg.Platform != nil {
 		serveCfg.ReadAheadBytes, serveCfg.Intake = readAheadBytes, incoming
@@ -120,6 +122,7 @@
 	}
 	routerCfg := front.RouterConfig{
 		Control: &d.control, Local: localHandler, Forwarder: node, Picker: pick.New(pick.Config{LocalServer: d.localFreeSlots, ColdRate: d.coldRate}), DC: d.cfg.DC, Metrics: d.metrics,
+		Evacuated: d.evacuation.Refuses,
 	}
 	if p := d.cfg.Platform; p != nil {
 		routerCfg.OwnServerFree = func() bool {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -23,6 +23,7 @@
 	MaxGrantTTL       time.Duration // maximum time for which a server may keep its grants without a heartbeat
 	MaxRangesBytes    int           // maximum size of the ranges in the reply to a heartbeat
 	RetryBudget       RetryBudget
+	EvacuationTime    time.Duration // time after the acknowledgement of an evacuation from which the servers get no requests; 0 is evac.DefaultLimit
 }
 
 // RetryBudget limits the retries that send a request to a second server.
@@ -110,6 +111,9 @@
 // configuration.
 func (d *Daemon) ConfigStore() pollenlatch.ConfigStore { return configStore{d} }
 
+// Evacuator returns the handler of orders to evacuate data centres.
+func (d *Daemon) Evacuator() pollenlatch.Evacuator { return evacuator{d} }
+
 // UpdateVoters replaces the voters named in the settings.
 func (d *Daemon) UpdateVoters(voters []pollenlatch.Member) { d.loop.UpdateVoters(voters) }
 
--- a/front/fake_test.go
+++ b/front/fake_test.go
@@ -26,6 +26,7 @@
 	owner     pollenlatch.Owner
 	endpoints []pollenlatch.Instance
 	server    *pollenlatch.Endpoint // of all instances; nil is one that is ready
+	evacuated bool                  // all instances are in an evacuated data centre
 }
 
 func (v *fakeView) Version() pollenlatch.Version { return v.version }
@@ -61,6 +62,7 @@
 	if v.server != nil {
 		i.Endpoint = v.server
 	}
+	i.Evacuated = v.evacuated
 	return i, true
 }
 
--- a/front/retry.go
+++ b/front/retry.go
@@ -103,6 +103,11 @@
 			return noRetry
 		}
 		return a.retryElsewhere()
+	case pollenlatch.ReasonEvacuated:
+		if a.keyed {
+			return retryAtNextOwner
+		}
+		return a.retryElsewhere()
 	case pollenlatch.ReasonUnreachable, pollenlatch.ReasonDraining, pollenlatch.ReasonNoEndpoint,
 		pollenlatch.ReasonServerRefused, pollenlatch.ReasonServerReplaced, pollenlatch.ReasonNoLease, pollenlatch.ReasonNoConfig:
 		return a.retryElsewhere()
--- a/front/retry_test.go
+++ b/front/retry_test.go
@@ -31,6 +31,8 @@
 		{"no untried endpoint", func(a *failedAttempt) { a.hasUntried = false }, noRetry},
 		{"owner of the key unreachable", func(a *failedAttempt) { a.keyed = true }, noRetry},
 		{"key has moved", func(a *failedAttempt) { a.keyed, a.reason = true, pollenlatch.ReasonWrongOwner }, retryAtNextOwner},
+		{"data centre of the server evacuated", func(a *failedAttempt) { a.reason = pollenlatch.ReasonEvacuated }, retryNow},
+		{"data centre of the owner evacuated", func(a *failedAttempt) { a.keyed, a.reason = true, pollenlatch.ReasonEvacuated }, retryAtNextOwner},
 		{"one of several servers overloaded", func(a *failedAttempt) { a.reason = pollenlatch.ReasonOverloaded }, retryNow},
 		{"maximum of overloaded servers", func(a *failedAttempt) { a.reason, a.hops = pollenlatch.ReasonOverloaded, maxOverloadHops }, noRetry},
 		{"overloaded server of an overloaded service", func(a *failedAttempt) {
--- a/front/router.go
+++ b/front/router.go
@@ -44,6 +44,9 @@
 	OwnServerFree func() bool
 	DC            string       // of this instance
 	Metrics       *metrics.Set // nil exports no metrics
+	// Evacuated reports whether the servers of a data centre must get no requests that
+	// are routed by shard, or none at all; nil is none.
+	Evacuated func(dc string, sharded bool) bool
 }
 
 // Router sends each request to the daemon whose local server is to run it. It
@@ -286,10 +289,39 @@
 	if p.target.instance, ok = v.Instance(o.Instance); !ok || p.leaving.hasLeft(p.target.instance, time.Now()) {
 		return pollenlatch.ReasonNoOwner, nil
 	}
+	if p.cfg.Evacuated != nil && p.cfg.Evacuated(p.target.instance.DC, true) {
+		if onlyEvacuated(v.Endpoints(s.Name), s) {
+			return "", p.refuseEvacuated()
+		}
+		return pollenlatch.ReasonNoOwner, nil
+	}
 	p.target.owner = o
 	return "", nil
 }
 
+// onlyEvacuated reports whether all endpoints that a service may use are in evacuated
+// data centres. A request for it is refused at once then: the evacuation ends by an
+// order of the operators, which may take hours.
+func onlyEvacuated(endpoints []pollenlatch.Instance, s pollenlatch.Service) bool {
+	evacuated := 0
+	for _, i := range endpoints {
+		switch {
+		case len(s.DCs) > 0 && !slices.Contains(s.DCs, i.DC):
+		case !i.Evacuated:
+			return false
+		default:
+			evacuated++
+		}
+	}
+	return evacuated > 0
+}
+
+func (p *pendingRequest) refuseEvacuated() *pollenlatch.Failure {
+	f := notRunFailure(pollenlatch.ReasonEvacuated, http.StatusServiceUnavailable, "all servers of the service are in evacuated data centres")
+	f.RetryAfter = defaultRetryAfter
+	return f
+}
+
 // pickEndpoint picks an endpoint for a request that is not routed by shard.
 // When all have been tried, all may be tried again.
 func (p *pendingRequest) pickEndpoint(v pollenlatch.View, s pollenlatch.Service) (pollenlatch.Reason, *pollenlatch.Failure) {
@@ -302,6 +334,9 @@
 		}
 	}
 	if len(usable) == 0 {
+		if onlyEvacuated(all, s) {
+			return "", p.refuseEvacuated()
+		}
 		return pollenlatch.ReasonNoEndpoint, nil
 	}
 	p.hasUntried = len(p.tried)+1 < len(usable)
@@ -466,7 +501,7 @@
 	case pollenlatch.OutcomeNotRun:
 		switch f.Reason {
 		case pollenlatch.ReasonUnreachable, pollenlatch.ReasonWrongOwner, pollenlatch.ReasonVersionMismatch, pollenlatch.ReasonQueueFull,
-			pollenlatch.ReasonDraining, pollenlatch.ReasonServerRefused, pollenlatch.ReasonNoLease, pollenlatch.ReasonNoEndpoint:
+			pollenlatch.ReasonDraining, pollenlatch.ReasonEvacuated, pollenlatch.ReasonServerRefused, pollenlatch.ReasonNoLease, pollenlatch.ReasonNoEndpoint:
 			return true
 		default:
 			return false
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -43,10 +43,15 @@
 	Leave(id string) error
 }
 
+// ErrNoVerdict is the error of an order that the group has not decided on in time. The
+// same order may be sent again.
+var ErrNoVerdict = errors.New("the group has not decided in time")
+
 // Evacuator starts and ends evacuations of data centres.
 type Evacuator interface {
 	// Evacuate submits an order to the group and returns once it is committed. An order
-	// that is in force already changes nothing. An order that fails may be sent again.
+	// that is in force already changes nothing. The error is ErrNoVerdict when there is
+	// no verdict in less than a second, and another one when the order is refused.
 	Evacuate(e Evacuate) error
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -59,6 +59,7 @@
 	ReasonOverloaded          Reason = "overloaded"  // more urgent or earlier requests take all slots
 	ReasonServerReplaced      Reason = "replaced"    // another server has taken over the address
 	ReasonQuarantined         Reason = "quarantined" // several servers have ended under the same request
+	ReasonEvacuated           Reason = "evacuated"   // the data centre of the server is evacuated
 	ReasonInvalidResponse     Reason = "unfaithful"  // the response is incomplete, or belongs to another request
 )
 
--- a/serve/owner.go
+++ b/serve/owner.go
@@ -88,9 +88,23 @@
 	switch {
 	case !ok || e.Service != r.Service || !e.Ready:
 		return refuse(pollenlatch.ReasonNoEndpoint, http.StatusServiceUnavailable, "no server of this service is ready on this instance")
+	case s.evacuated(r):
+		return Evacuated()
 	case e.Draining && (!r.Sharded() || s.drainGraceOver()):
 		return refuse(pollenlatch.ReasonDraining, http.StatusServiceUnavailable, "the server is draining")
 	default:
 		return nil
 	}
 }
+
+// evacuated reports whether the server must not get a request since its data centre is
+// evacuated. Requests that are routed by shard are served until the shard has moved or
+// the time limit of the evacuation is near.
+func (s *Server) evacuated(r *pollenlatch.Request) bool {
+	return s.cfg.Evacuated != nil && s.cfg.Evacuated(r.Sharded())
+}
+
+// Evacuated returns the failure of a request for a server of an evacuated data centre.
+func Evacuated() *pollenlatch.Failure {
+	return refuse(pollenlatch.ReasonEvacuated, http.StatusServiceUnavailable, "the data centre of the server is evacuated")
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -43,6 +43,9 @@
 	Metrics        *metrics.Set   // nil: metrics are not exported
 	Grants         Grants         // nil: the server has the grants of all shards that this instance owns
 	Crashes        *crash.Monitor // tells which requests may end servers; nil: none
+	// Evacuated reports whether the local server must get no requests that are routed by
+	// shard, or none at all, since its data centre is evacuated; nil is never.
+	Evacuated func(sharded bool) bool
 	// ReportCleared is called after a suspect has completed; nil reports nothing.
 	ReportCleared func(pollenlatch.Fingerprint)
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
@@ -224,6 +227,9 @@
 		if s.drainGraceOver() {
 			return refuse(pollenlatch.ReasonDraining, http.StatusServiceUnavailable, "the server has been draining for too long")
 		}
+		if s.evacuated(r) {
+			return Evacuated()
+		}
 		return permit.Check()
 	}
 	tracked := false // released with the response body
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -207,6 +207,12 @@
 		{"routed by a newer state", func(_ *harness, r *pollenlatch.Request) { r.Version, r.Fence = 31, 31 }, pollenlatch.OutcomeNotRun, pollenlatch.ReasonVersionMismatch, 503},
 		{"server of another service", func(h *harness, _ *pollenlatch.Request) { h.endpoint.Service = "depot" }, pollenlatch.OutcomeNotRun, pollenlatch.ReasonNoEndpoint, 503},
 		{"server not ready", func(h *harness, _ *pollenlatch.Request) { h.endpoint.Ready = false }, pollenlatch.OutcomeNotRun, pollenlatch.ReasonNoEndpoint, 503},
+		{"data centre evacuated, time over", func(h *harness, _ *pollenlatch.Request) {
+			h.server.cfg.Evacuated = func(bool) bool { return true }
+		}, pollenlatch.OutcomeNotRun, pollenlatch.ReasonEvacuated, 503},
+		{"time of an evacuation passes in the queue", func(h *harness, _ *pollenlatch.Request) {
+			h.exchanger.beforeCheck = func() { h.server.cfg.Evacuated = func(bool) bool { return true } }
+		}, pollenlatch.OutcomeNotRun, pollenlatch.ReasonEvacuated, 503},
 		{"no server", func(h *harness, _ *pollenlatch.Request) { h.admitter.SetSlots(0) }, pollenlatch.OutcomeNotRun, pollenlatch.ReasonNoEndpoint, 503},
 		{"deadline passes in the queue", func(h *harness, _ *pollenlatch.Request) {
 			release, _ := h.admitter.Admit(context.Background(), pollenlatch.AdmitRequest{})
@@ -473,3 +479,21 @@
 		h.requireIdle(t)
 	})
 }
+
+// In the time that an evacuation leaves, requests by key run, since their keys have no
+// other owner yet. Others must not, since any other server can run them.
+func TestEvacuatedServer(t *testing.T) {
+	h := newHarness()
+	h.server.cfg.Evacuated = func(sharded bool) bool { return !sharded }
+	_, err := h.call(newRequest())
+	require.NoError(t, err)
+	h.control.view.service.Keyed = false
+	r := newRequest()
+	r.Shard, r.IdempotencyKey = pollenlatch.Shard{}, ""
+	_, err = h.call(r)
+	var f *pollenlatch.Failure
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, pollenlatch.ReasonEvacuated, f.Reason)
+	require.Positive(t, f.RetryAfter)
+	require.Equal(t, 1, h.exchanger.runs)
+}
