--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -43,7 +43,7 @@
 		TickInterval: platformTick,
 		Platform: &daemon.Platform{
 			Headers: wire.Headers(), LocalService: s.Service, LocalAddr: s.ServerAddr, HeartbeatInterval: s.HeartbeatInterval, MaxGrantTTL: s.PlatformLimits.MaxGrantTTL, MaxRangesBytes: wire.MaxRangesBytes,
-			RetryBudget: retryBudget(s.PlatformLimits),
+			RetryBudget: retryBudget(s.PlatformLimits), EvacuationTime: s.PlatformLimits.Evacuation,
 		},
 	}
 	cfg.Voters = contactsToMembers(s.Voters)
@@ -104,5 +104,5 @@
 		p.Ready = d.Ready
 		return
 	}
-	p.Config = d.ConfigStore()
+	p.Config, p.Evacuator = d.ConfigStore(), d.Evacuator()
 }
