--- a/admin/api.go
+++ b/admin/api.go
@@ -8,7 +8,8 @@
 	"pollenlatch/ticket"
 )
 
-// Decision is the response to a submitted ticket.
+// Decision is the response to a submitted ticket, or to an order to evacuate a data
+// centre.
 type Decision struct {
 	Verdict pollenlatch.Verdict `json:"verdict"`
 	InForce bool                `json:"in_force"` // at every instance that may serve
@@ -43,6 +44,8 @@
 	Voters     []pollenlatch.Member   `json:"voters"`
 	Services   []ServiceStatus        `json:"services"`
 	Instances  []pollenlatch.Instance `json:"instances,omitempty"` // only when requested
+	// EvacuatedDCs are the evacuated data centres.
+	EvacuatedDCs []string `json:"evacuated"`
 }
 
 // ServiceStatus is the status of one service.
--- a/admin/control.go
+++ b/admin/control.go
@@ -15,6 +15,8 @@
 	Callers() []pollenlatch.Caller
 	Voters() []pollenlatch.Member
 	Instances() []pollenlatch.Instance
+	// EvacuatedDCs returns the evacuated data centres, sorted.
+	EvacuatedDCs() []string
 	// EachShard calls f for every shard of a service until f returns false.
 	EachShard(service string, f func(pollenlatch.Owner) bool)
 	// NextTicket returns the next free ticket number.
@@ -33,7 +35,7 @@
 var _ View = (*state.State)(nil)
 
 // Control gives the API access to the process that it belongs to. It is safe for
-// concurrent use. Only Propose blocks.
+// concurrent use. Only Propose and Evacuate block.
 type Control interface {
 	// View returns the newest state that this process holds.
 	View() View
@@ -41,6 +43,8 @@
 	// verdict in time it returns ctx's error: the ticket may or may not have been
 	// decided, and the same text may be proposed again.
 	Propose(ctx context.Context, text, sender string) (pollenlatch.Verdict, error)
+	// Evacuate submits an order to the group and waits for the verdict, like Propose.
+	Evacuate(ctx context.Context, e pollenlatch.Evacuate) (pollenlatch.Verdict, error)
 	// InForce reports whether every instance that may serve holds the version.
 	InForce(v pollenlatch.Version) bool
 	// Status returns the status of this process.
--- a/admin/server.go
+++ b/admin/server.go
@@ -134,6 +134,7 @@
 	{"POST", "/v1/tickets", conf.ScopeTickets, (*Server).applyTicket},
 	{"POST", "/v1/tickets/diff", conf.ScopeRead, (*Server).diffTicket},
 	{"GET", "/v1/burn", conf.ScopeRead, (*Server).burnReport},
+	{"POST", "/v1/evacuate", conf.ScopeEverything, (*Server).evacuate},
 	{"POST", "/v1/drain", conf.ScopeEverything, (*Server).drain},
 }
 
--- a/admin/status.go
+++ b/admin/status.go
@@ -15,6 +15,8 @@
 		NextTicket: view.NextTicket(),
 		Voters:     view.Voters(),
 		Services:   []ServiceStatus{},
+
+		EvacuatedDCs: append([]string{}, view.EvacuatedDCs()...),
 	}
 	if st.Voters == nil {
 		st.Voters = []pollenlatch.Member{}
--- a/admin/tickets.go
+++ b/admin/tickets.go
@@ -30,9 +30,8 @@
 // applyTicket submits a ticket to the group and, if requested, waits until it is in
 // force.
 func (s *Server) applyTicket(c *call) {
-	wait := string(c.QueryArgs().Peek("wait"))
-	if wait != "" && wait != WaitAccepted && wait != WaitInForce {
-		c.respondError(fasthttp.StatusBadRequest, "wait=%s is neither %s nor %s", wait, WaitAccepted, WaitInForce)
+	wait, ok := c.waitArg()
+	if !ok {
 		return
 	}
 	timeout, ok := c.timeoutArg()
@@ -68,12 +67,16 @@
 
 // respondUndecided responds that it is unknown whether a ticket was decided.
 func (c *call) respondUndecided(number uint64, err error) {
-	cause := "no leader"
+	c.Response.Header.Set("Retry-After", "1")
+	c.respondError(fasthttp.StatusServiceUnavailable, "ticket %d is not known to be decided (%s); send it again, the same text gets one verdict", number, undecidedCause(err))
+}
+
+// undecidedCause describes why it is unknown whether something was decided.
+func undecidedCause(err error) string {
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
-		cause = err.Error()
+		return err.Error()
 	}
-	c.Response.Header.Set("Retry-After", "1")
-	c.respondError(fasthttp.StatusServiceUnavailable, "ticket %d is not known to be decided (%s); send it again, the same text gets one verdict", number, cause)
+	return "no leader"
 }
 
 // decisionStatus returns the HTTP status of a decision.
@@ -109,6 +112,17 @@
 	return true
 }
 
+// waitArg returns the query argument wait. It responds with an error and returns false
+// if the argument is invalid.
+func (c *call) waitArg() (string, bool) {
+	wait := string(c.QueryArgs().Peek("wait"))
+	if wait != "" && wait != WaitAccepted && wait != WaitInForce {
+		c.respondError(fasthttp.StatusBadRequest, "wait=%s is neither %s nor %s", wait, WaitAccepted, WaitInForce)
+		return "", false
+	}
+	return wait, true
+}
+
 // timeoutArg returns the query argument timeout. It responds with an error and
 // returns false if the argument is invalid.
 func (c *call) timeoutArg() (time.Duration, bool) {
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -66,6 +66,7 @@
 	statusCommand,
 	ownerCommand,
 	drainCommand,
+	evacuateCommand,
 	burnCommand,
 	serveCommand,
 	initCommand,
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -41,6 +41,15 @@
 	return res
 }
 
+func (f *fakeControl) Evacuate(_ context.Context, e pollenlatch.Evacuate) (pollenlatch.Verdict, error) {
+	if f.leaderlessProposals > 0 {
+		f.leaderlessProposals--
+		return pollenlatch.Verdict{}, context.DeadlineExceeded
+	}
+	e.Known = f.Version()
+	return *f.apply(pollenlatch.Command{Evacuate: &e}).Verdict, nil
+}
+
 func (f *fakeControl) Propose(_ context.Context, text, sender string) (pollenlatch.Verdict, error) {
 	if f.leaderlessProposals > 0 {
 		f.leaderlessProposals--
@@ -282,3 +291,26 @@
 		})
 	}
 }
+
+// An operator must see whether an evacuation is in force before work begins in the data
+// centre.
+func TestEvacuateCommand(t *testing.T) {
+	r := startInstance(t)
+	r.control.leaderlessProposals = 2
+	code, out, stderr := r.run("evacuate", "howrah")
+	require.Equal(t, exitOK, code, stderr)
+	require.Equal(t, "howrah: evacuated at version 1, in force everywhere\n", out)
+	_, out, _ = r.run("status")
+	require.Regexp(t, `evacuated +howrah`, out)
+	code, out, _ = r.run("evacuate", "--finish", "howrah")
+	require.Equal(t, exitOK, code)
+	require.Equal(t, "howrah: no longer evacuated at version 2, in force everywhere\n", out)
+	_, out, _ = r.run("status", "--instances")
+	require.Regexp(t, `evacuated +-`, out)
+	code, _, _ = r.run("evacuate")
+	require.Equal(t, exitUsage, code)
+	r.control.inForceVersion = 0
+	code, _, stderr = r.run("evacuate", "--timeout", "50ms", "howrah")
+	require.Equal(t, exitRetry, code)
+	require.Contains(t, stderr, "not in force everywhere")
+}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/url"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"pollenlatch/admin"
@@ -130,6 +131,7 @@
 	t.row("next ticket", s.NextTicket)
 	t.row("in flight", p.InFlight)
 	t.row("queued", p.Queued)
+	t.row("evacuated", orDash(strings.Join(s.EvacuatedDCs, ", ")))
 	t.row("instances", fmt.Sprintf("%d with a lease, %d without", s.Alive, s.Lost))
 }
 
@@ -145,13 +147,13 @@
 }
 
 func instanceTable(t *table, s admin.Status) {
-	t.row("INSTANCE", "DC", "LEASE", "LINK", "SERVICE", "READY", "DRAINING", "FENCED")
+	t.row("INSTANCE", "DC", "LEASE", "LINK", "SERVICE", "READY", "DRAINING", "EVACUATED", "FENCED")
 	for _, i := range s.Instances {
 		service, ready, draining, fenced := "-", "-", "-", "-"
 		if e := i.Endpoint; e != nil {
 			service, ready, draining, fenced = orDash(e.Service), yesNo(e.Ready), yesNo(e.Draining), yesNo(e.Fenced)
 		}
-		t.row(i.Name, i.DC, i.Lease, i.Addr, service, ready, draining, fenced)
+		t.row(i.Name, i.DC, i.Lease, i.Addr, service, ready, draining, yesNo(i.Evacuated), fenced)
 	}
 }
 
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -30,6 +30,12 @@
 	return c.Submit(ctx, pollenlatch.Ticket{Number: number, Text: text, Sender: sender, ReceivedAt: time.Now().UnixMilli()})
 }
 
+// Evacuate submits an order to evacuate a data centre, or to end that, and waits for its
+// verdict.
+func (c adminControl) Evacuate(ctx context.Context, e pollenlatch.Evacuate) (pollenlatch.Verdict, error) {
+	return c.loop.SubmitEvacuation(ctx, &e)
+}
+
 // InForce reports whether every instance that may serve has the version.
 func (c adminControl) InForce(v pollenlatch.Version) bool { return c.control.Access().InForce >= v }
 
--- a/daemon/evacuation.go
+++ b/daemon/evacuation.go
@@ -28,20 +28,14 @@
 func (e evacuator) Evacuate(order pollenlatch.Evacuate) error {
 	ctx, cancel := context.WithTimeout(context.Background(), evacuationTimeout)
 	defer cancel()
-	_, err := e.evacuate(ctx, order)
-	return err
-}
-
-// evacuate submits an order and waits until it is committed.
-func (d *Daemon) evacuate(ctx context.Context, order pollenlatch.Evacuate) (pollenlatch.Verdict, error) {
-	verdict, err := d.loop.SubmitEvacuation(ctx, &order)
+	verdict, err := e.loop.SubmitEvacuation(ctx, &order)
 	switch {
 	case err != nil:
-		return verdict, fmt.Errorf("%w: %w", pollenlatch.ErrNoVerdict, err)
+		return fmt.Errorf("%w: %w", pollenlatch.ErrNoVerdict, err)
 	case !verdict.Accepted:
-		return verdict, fmt.Errorf("%w: %s", errOrderRefused, strings.Join(verdict.Faults, "; "))
+		return fmt.Errorf("%w: %s", errOrderRefused, strings.Join(verdict.Faults, "; "))
 	default:
-		return verdict, nil
+		return nil
 	}
 }
 
