--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -102,3 +102,35 @@
 	delayed, refused := s.ColdStats()
 	require.Equal(t, []uint64{1, 0}, []uint64{delayed, refused})
 }
+
+// A server that starts slowly must run no more requests at a time than its pace allows,
+// requests that it cannot serve in time must be refused when the pace falls, and the
+// others must start when it rises.
+func TestPace(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, 0)
+	h.learnRunTime("r", 100*time.Millisecond)
+	h.sched.setSlots(4, 2)
+	var sent []*testRequest
+	for range 6 {
+		sent = append(sent, h.offer("r", pollenlatch.ClassNormal, 0, 350*time.Millisecond))
+	}
+	require.Len(t, h.sched.running, 2)
+	require.EqualValues(t, 4, h.sched.paceDelayed)
+	h.sched.setSlots(4, 1)
+	h.sched.refuseOverdue(h.now)
+	require.Len(t, h.sched.running, 2, "running requests are not affected")
+	require.Positive(t, h.sched.paceRefused)
+	refused := 0
+	for _, req := range sent {
+		if req.refused != nil {
+			refused++
+		}
+	}
+	require.EqualValues(t, h.sched.paceRefused, refused)
+	h.sched.setSlots(4, 0)
+	h.sched.startWaiting(h.now)
+	require.Len(t, h.sched.running, min(4, 6-refused))
+	h.sched.setSlots(0, 3)
+	require.Zero(t, h.sched.slots, "there is no server")
+}
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -105,7 +105,11 @@
 // responses are paced, only as many requests wait as can meet their objective: a
 // longer queue would serve no more of them and make all of them late.
 type schedule struct {
-	slots        int
+	slots        int               // in use at present
+	freeSlots    int               // of the server, without those of others; slots is less during its slow start
+	pace         int               // slots that the server may use during its slow start; 0 is all
+	paceDelayed  uint64            // requests that waited because of it
+	paceRefused  uint64            // requests that were refused because of it
 	limiter      quota.Limiter     // of the requests that the server accepts
 	cold         cold.Limiter      // of the requests that the server gets while it is cold
 	coldDelayed  uint64            // requests that waited for the limit of a cold server
@@ -236,6 +240,21 @@
 	return len(s.running) < s.slots && s.cold.Wait(len(s.waiting)+1, now) > 0
 }
 
+// delayedByPace reports whether the slow start of the server, and not a lack of slots,
+// delays the waiting requests.
+func (s *schedule) delayedByPace() bool {
+	return len(s.running) >= s.slots && len(s.running) < s.freeSlots
+}
+
+// setSlots sets the slots of the server that are free for the requests of this daemon, and
+// how many of them it may use during its slow start; pace 0 is all.
+func (s *schedule) setSlots(n, pace int) {
+	s.slots, s.freeSlots, s.pace = n, n, pace
+	if pace > 0 {
+		s.slots = min(n, pace)
+	}
+}
+
 // limitDelay returns the time until the limit of the server allows a waiting request
 // that has a free slot. delayed is false when there is none.
 func (s *schedule) limitDelay(now time.Time) (d time.Duration, delayed bool) {
@@ -285,8 +304,11 @@
 	if f := s.checkDeadlines(r, s.estimateDelivery(r, start, now), now); f != nil {
 		return f
 	}
-	if s.delayedByCold(now) {
+	switch {
+	case s.delayedByCold(now):
 		s.coldDelayed++
+	case s.delayedByPace():
+		s.paceDelayed++
 	}
 	s.waiting = append(s.waiting, r)
 	s.startWaiting(now)
@@ -325,6 +347,9 @@
 		detail, wait.Milliseconds(), r.serviceTime().Milliseconds(), left.Milliseconds(), len(s.running), s.slots, len(s.waiting), s.offeredSlots, s.offeredLink, s.offeredBody, s.limit(),
 	))
 	f.RetryAfter = max(minRetryAfter, min(wait, time.Duration(maxRetryAfterShare*float64(left))))
+	if s.delayedByPace() {
+		s.paceRefused++
+	}
 	if s.delayedByCold(now) {
 		s.coldRefused++
 		// The next request after those that wait is sent then. An earlier attempt is in
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -61,14 +61,14 @@
 		return
 	}
 	slots := g.Slots(s.slots, now)
-	if slots == s.sched.slots {
+	if slots == s.sched.freeSlots {
 		return
 	}
 	if suppressed, ok := s.slotsLog.Allow(now); ok {
-		klog.InfoS("requests of others change the free slots of the server", "slots", slots, "before", s.sched.slots, "of", s.slots,
+		klog.InfoS("requests of others change the free slots of the server", "slots", slots, "before", s.sched.freeSlots, "of", s.slots,
 			"running", len(s.sched.running), "waiting", len(s.sched.waiting), "suppressed", suppressed)
 	}
-	s.sched.slots = slots
+	s.sched.setSlots(slots, s.sched.pace)
 }
 
 // LoadChanged applies a load that the gauge has just observed.
@@ -108,7 +108,8 @@
 func (s *Scheduler) SetSlots(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slots, s.sched.slots = n, n
+	s.slots = n
+	s.sched.setSlots(n, s.sched.pace)
 	if n <= 0 {
 		s.sched.refuseAll(noServer)
 		return
@@ -137,6 +138,27 @@
 	s.setWake(now)
 }
 
+// SetPace sets how many slots the server may use during its slow start; 0 is all. Fewer
+// slots do not affect running requests, and waiting ones that can no longer be served in
+// time are refused.
+func (s *Scheduler) SetPace(slots int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.setSlots(s.sched.freeSlots, slots)
+	now := time.Now()
+	s.sched.startWaiting(now)
+	s.sched.refuseOverdue(now)
+	s.setWake(now)
+}
+
+// PaceStats returns how many requests have waited because of the slow start of a server,
+// and how many were refused because of it.
+func (s *Scheduler) PaceStats() (delayed, refused uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.paceDelayed, s.sched.paceRefused
+}
+
 // SetColdLimit sets how many requests a second a server gets while it is cold, whether
 // it is cold, and when that is expected to end; zero is unknown. Requests that were sent
 // to it in the last second before it becomes cold count. perSecond 0 is no limit. Both
