--- a/pick/picker.go
+++ b/pick/picker.go
@@ -81,6 +81,9 @@
 	// ColdRate returns how many requests a second a cold server of a service gets; 0
 	// is no limit. nil: no service has a limit.
 	ColdRate func(service string) float64
+	// Paced reports whether the daemons beside the servers of a service keep their pace
+	// after a start or recovery. They have no warm-up by time then. nil: none do.
+	Paced func(service string) bool
 }
 
 // Picker implements pollenlatch.Picker with statistics of this daemon alone. It
@@ -263,7 +266,7 @@
 	if e == nil || incarnation(e.instance) != incarnation(c) {
 		e = &endpoint{coldUntil: now}
 		if p.newAreCold {
-			e.coldUntil = now.Add(p.cfg.WarmUp)
+			e.coldUntil = now.Add(p.warmUp(c))
 		}
 		p.endpoints[c.ID] = e
 	}
@@ -274,6 +277,15 @@
 	return e
 }
 
+// warmUp returns the time until an endpoint that has just started or returned gets its
+// full traffic.
+func (p *Picker) warmUp(i pollenlatch.Instance) time.Duration {
+	if p.cfg.Paced != nil && i.Endpoint != nil && p.cfg.Paced(i.Endpoint.Service) {
+		return 0
+	}
+	return p.cfg.WarmUp
+}
+
 func incarnation(i pollenlatch.Instance) pollenlatch.Incarnation {
 	if i.Endpoint == nil {
 		return 0
@@ -417,7 +429,7 @@
 	d := min(p.cfg.MaxEjectionTime, p.cfg.BaseEjectionTime<<min(e.ejections, 16))
 	e.ejections++
 	e.ejectedUntil = now.Add(d)
-	e.coldUntil = e.ejectedUntil.Add(p.cfg.WarmUp)
+	e.coldUntil = e.ejectedUntil.Add(p.warmUp(e.instance))
 	e.results, e.failureShare = 0, 0
 }
 
--- a/pick/picker_test.go
+++ b/pick/picker_test.go
@@ -337,3 +337,20 @@
 	m = countPicks(t, p, c, all, 1000, nil)
 	require.Greater(t, min(m[1], m[2], m[3], m[4]), 100, "all are cold: %v", m)
 }
+
+// A server whose daemon keeps its pace must get its full traffic at once. With a warm-up
+// by time it would be idle for seconds after it is ready.
+func TestPickPacedServer(t *testing.T) {
+	for _, paced := range []bool{false, true} {
+		c := &manualClock{now: pollenlatch.MonoTime(time.Hour)}
+		p := New(Config{Clock: c, Seed: 1, Paced: func(string) bool { return paced }})
+		all := candidates(4)
+		countPicks(t, p, c, all[:3], 100, nil)
+		m := countPicks(t, p, c, all, 400, nil)
+		if paced {
+			require.Greater(t, m[4], 80)
+		} else {
+			require.Less(t, m[4], 60)
+		}
+	}
+}
