--- a/beat/beat.go
+++ b/beat/beat.go
@@ -66,6 +66,10 @@
 	// Cold is called with the time for which a heartbeat says that the server stays
 	// cold, and returns whether the server must be treated as cold. nil: it never is.
 	Cold func(e pollenlatch.Endpoint, left time.Duration) bool
+	// Moved is called when a reply grants ranges that the server did not hold and for
+	// which it gets no token of the previous server. total is the number of its ranges.
+	// nil: it is not reported.
+	Moved func(added, total int)
 }
 
 // Tracker tracks the grants of the local server. It implements
@@ -344,6 +348,7 @@
 	minFence := pollenlatch.Fence(t.cfg.Control.JoinVersion())
 	var ranges []pollenlatch.KeyRange
 	granted := make(map[pollenlatch.Range]grant)
+	moved := 0
 	v.EachOwned(self.ID, svc.Name, func(o pollenlatch.Owner) bool {
 		if o.Frozen() || o.Key != "" {
 			return true
@@ -354,6 +359,9 @@
 		}
 		t.fences[o.Range] = max(t.fences[o.Range], o.Fence)
 		granted[o.Range] = grant{fence: o.Fence, seq: t.seq}
+		if _, before := t.granted[o.Range]; !before && !reported && o.Token == "" {
+			moved++
+		}
 		kr := pollenlatch.KeyRange{Fence: t.fences[o.Range]}
 		kr.First, kr.Last = svc.Keys(o.Range)
 		if !reported {
@@ -380,6 +388,9 @@
 		}
 	}
 	t.logChanges(granted, len(ranges), ttl, v.Version())
+	if t.cfg.Moved != nil && moved > 0 {
+		t.cfg.Moved(moved, len(granted))
+	}
 	t.granted = granted
 	t.grantsEnd = max(t.grantsEnd, now.Add(lease.WithDrift(ttl)))
 	return pollenlatch.HeartbeatReply{Ranges: ranges, TTL: ttl}
--- a/beat/signal_test.go
+++ b/beat/signal_test.go
@@ -148,3 +148,23 @@
 	f.tracker.ObserveCold(e.Incarnation)
 	require.Equal(t, []bool{true, false, true}, cold())
 }
+
+// Keys that come to a server without the token of the previous one are slow there at
+// first. The server must not be taken for new when it holds them already, and the daemon
+// has only restarted.
+func TestMovedKeysAreReported(t *testing.T) {
+	f := newFixture(t)
+	e := newEndpoint("s1", 1)
+	f.initState(e)
+	var moved [][2]int
+	f.tracker.cfg.Moved = func(added, total int) { moved = append(moved, [2]int{added, total}) }
+	f.assign(0, 1, 2)
+	f.heartbeat(e, keyRanges(f.fence(0), 0)...)
+	require.Equal(t, [][2]int{{2, 3}}, moved, "the server holds one of them")
+	f.heartbeat(e)
+	require.Len(t, moved, 2)
+	f.heartbeat(e, keyRanges(f.fence(0), 0, 1, 2)...)
+	f.assign(3)
+	f.heartbeat(e, keyRanges(f.fence(0), 0, 1, 2)...)
+	require.Equal(t, [2]int{1, 4}, moved[len(moved)-1])
+}
--- a/daemon/cold.go
+++ b/daemon/cold.go
@@ -192,9 +192,11 @@
 	}
 }
 
-// exchangeGuarded sends a request to the local server within the limit of a cold server.
+// exchangeGuarded sends a request to the local server within the limit of a cold server,
+// and records how the server responds.
 func (d *Daemon) exchangeGuarded(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
-	if !d.cold.enabled.Load() {
+	limited, paced := d.cold.enabled.Load(), d.ramp.enabled.Load()
+	if !limited && !paced {
 		return d.relay.Exchange(ctx, r, check)
 	}
 	var sentAt time.Time
@@ -203,14 +205,19 @@
 			return err
 		}
 		sentAt = time.Now()
+		if !limited {
+			return nil
+		}
 		return d.cold.send(sentAt)
 	})
-	if err != nil {
-		return nil, err
-	}
 	now := time.Now()
-	d.cold.observeRun(r.Route, now.Sub(sentAt), now)
-	return resp, nil
+	if paced {
+		d.ramp.observe(r, sentAt, resp, err, now)
+	}
+	if limited && err == nil {
+		d.cold.observeRun(r.Route, now.Sub(sentAt), now)
+	}
+	return resp, err
 }
 
 // observeCold records the time for which a response says that the server stays cold.
@@ -238,6 +245,7 @@
 		case <-d.healthRequests:
 		case <-ticker.C:
 			d.cold.update()
+			d.updateRamp()
 			if !d.cold.needsCheck(time.Now()) {
 				continue
 			}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -90,6 +90,7 @@
 	tracker        *beat.Tracker  // nil without Platform
 	relay          *relay.Relay
 	cold           *coldGuard // nil without Platform
+	ramp           *rampGuard // nil without Platform
 	admitter       admitter
 	recordStore    *dedup.Store
 	serve          *serve.Server
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -59,7 +59,9 @@
 	}
 	d.endpoint, d.endpointKnown = e, true
 	if d.cold != nil {
-		d.cold.useServer(e, time.Now()) // before the server gets its first request
+		now := time.Now()
+		d.cold.useServer(e, now) // both before the server gets its first request
+		d.ramp.useServer(e, now)
 	}
 	d.relay.SetEndpoint(withMaxConns(e))
 	d.admitter.SetSlots(int(e.Slots))
@@ -139,6 +141,9 @@
 	d.endpoint.Ready = false
 	e := d.endpoint
 	d.mu.Unlock()
+	if d.ramp != nil {
+		d.ramp.lost()
+	}
 	d.admitter.SetSlots(0) // rejects the waiting requests as not run
 	if ended && previous.Ready {
 		d.onServerEnded(previous)
@@ -173,7 +178,11 @@
 		return 0, 0
 	}
 	running, waiting := d.admitter.Load()
-	return d.control.Self(), d.gauge.Slots(int(e.Slots), time.Now()) - running - waiting
+	slots := d.gauge.Slots(int(e.Slots), time.Now())
+	if d.ramp != nil {
+		slots = min(slots, d.ramp.slots(e))
+	}
+	return d.control.Self(), slots - running - waiting
 }
 
 func (d *Daemon) queueLimit(service string) int {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -63,7 +63,17 @@
 		incoming.OnFree(scheduler.StartWaiting)
 		incoming.Register(d.metrics)
 		d.admitter = scheduler
-		d.cold = newColdGuard(d.control.View, scheduler.SetColdLimit, d.requestHealthCheck)
+		d.ramp = newRampGuard(d.control.View, scheduler.SetPace, scheduler.Load)
+		d.cold = newColdGuard(d.control.View, func(perSecond float64, cold bool, until time.Time) {
+			// The server always has one of the two limits.
+			if !cold {
+				d.ramp.setCold(false, true, time.Now())
+			}
+			scheduler.SetColdLimit(perSecond, cold, until)
+			if cold {
+				d.ramp.setCold(true, !until.IsZero(), time.Now())
+			}
+		}, d.requestHealthCheck)
 		relayCfg.Observe, relayCfg.Gauge = d.observeServer, &d.gauge
 		relayCfg.ExpectedRun = func(r *pollenlatch.Request) time.Duration { return scheduler.ExpectedRun(r.Route) }
 	} else {
@@ -119,7 +129,7 @@
 		return nil
 	}
 	routerCfg := front.RouterConfig{
-		Control: &d.control, Local: localHandler, Forwarder: node, Picker: pick.New(pick.Config{LocalServer: d.localFreeSlots, ColdRate: d.coldRate}), DC: d.cfg.DC, Metrics: d.metrics,
+		Control: &d.control, Local: localHandler, Forwarder: node, Picker: pick.New(pick.Config{LocalServer: d.localFreeSlots, ColdRate: d.coldRate, Paced: d.isPaced}), DC: d.cfg.DC, Metrics: d.metrics,
 	}
 	if p := d.cfg.Platform; p != nil {
 		routerCfg.OwnServerFree = func() bool {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -75,7 +75,8 @@
 	return beat.New(beat.Config{
 		Control: &d.control, Observer: d, Clock: pollenlatch.BootClock{}, Service: p.LocalService, Addr: p.LocalAddr, Interval: p.HeartbeatInterval,
 		MaxTTL: p.MaxGrantTTL, MaxRangesBytes: p.MaxRangesBytes, InheritedTTL: d.cfg.Timing.Lease,
-		Cold: func(e pollenlatch.Endpoint, left time.Duration) bool { return d.cold.heartbeat(e, left, time.Now()) },
+		Moved: func(added, total int) { d.ramp.moved(added, total, time.Now()) },
+		Cold:  func(e pollenlatch.Endpoint, left time.Duration) bool { return d.cold.heartbeat(e, left, time.Now()) },
 	})
 }
 
@@ -90,6 +91,7 @@
 		return d.limit.Limit()
 	})
 	d.registerColdMetrics()
+	d.registerRampMetrics()
 	d.metrics.GetOrCreateGauge("pollenlatch_gauge_slowness", func() float64 { return float64(d.gauge.Slowness(time.Now())) / 100 })
 	d.metrics.GetOrCreateGauge("pollenlatch_gauge_slowness_used", func() float64 {
 		if a, ok := d.admitter.(gaugedAdmitter); ok && a.UsesSlowness() {
@@ -157,6 +159,7 @@
 	d.rates.Settings = sketch.Settings{Decay: loadDecay, MaxBytes: maxLoadReportBytes}
 	return pollenlatch.HandlerFunc(func(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
 		d.rates.Add(r.Shard, "")
+		d.ramp.arrive(r, time.Now())
 		return next.Handle(ctx, r)
 	})
 }
