--- a/place/place.go
+++ b/place/place.go
@@ -147,6 +147,7 @@
 	servers []*server           // sorted by ID
 	byID    map[pollenlatch.InstanceID]*server
 	moves   []pollenlatch.Move
+	moved   map[pollenlatch.Range]bool // ranges in moves
 }
 
 func newRound(in pollenlatch.PlanInput, lister shardLister, svc pollenlatch.Service, state *serviceState) *round {
@@ -370,14 +371,22 @@
 			continue // it gets its quota once it is warm
 		}
 		r.state.joined[to.id] = to.incarnation
-		if deficit := to.quota - float64(to.numRanges); deficit < max(minJoinDeficit*to.quota, 1) {
+		deficit := to.quota - float64(to.numRanges)
+		if deficit < max(minJoinDeficit*to.quota, 1) {
 			continue
 		}
+		// Ranges that move to another server in this plan cannot move again.
+		movable, total := make(map[pollenlatch.InstanceID]int), 0
+		for _, o := range r.owners {
+			if o.Instance != 0 && o.Instance != to.id && !o.Frozen() && !r.moved[o.Range] {
+				movable[o.Instance]++
+				total++
+			}
+		}
 		for _, from := range r.servers {
-			if from == to || from.numRanges == 0 {
-				continue
+			if n := movable[from.id]; n > 0 {
+				r.moveGroups(from, to, n, int(math.Floor(deficit*float64(n)/float64(total))))
 			}
-			r.moveGroups(from, to, int(math.Floor(to.quota*float64(from.numRanges)/float64(r.svc.NumRanges()))))
 		}
 	}
 }
@@ -386,7 +395,7 @@
 func (r *round) movableGroups(id pollenlatch.InstanceID) [][]pollenlatch.Owner {
 	var groups [][]pollenlatch.Owner
 	for _, o := range r.owners {
-		if o.Instance != id || o.Frozen() {
+		if o.Instance != id || o.Frozen() || r.moved[o.Range] {
 			continue
 		}
 		if n := len(groups); n > 0 && groupOf(groups[n-1][0].Range) == groupOf(o.Range) {
@@ -398,13 +407,11 @@
 	return groups
 }
 
-// moveGroups moves about n ranges from one server to another, in whole groups.
-func (r *round) moveGroups(from, to *server, n int) {
+// moveGroups moves about n of the movable ranges of one server to another, in whole
+// groups.
+func (r *round) moveGroups(from, to *server, movable, n int) {
 	groups := r.movableGroups(from.id)
-	if len(groups) == 0 || from.numRanges == 0 {
-		return
-	}
-	numGroups := min(len(groups), int(math.Round(float64(n)*float64(len(groups))/float64(from.numRanges))))
+	numGroups := min(len(groups), int(math.Round(float64(n)*float64(len(groups))/float64(movable))))
 	for i := range numGroups {
 		for _, o := range groups[i*len(groups)/numGroups] {
 			r.moveRange(o, from, to, reasonJoined)
@@ -425,4 +432,8 @@
 // hand-over in progress.
 func (r *round) addHandOver(o pollenlatch.Owner, to pollenlatch.InstanceID, reason string) {
 	r.moves = append(r.moves, pollenlatch.Move{Shard: o.Shard, From: o.Instance, To: to, Fence: o.Fence, Reason: reason})
+	if r.moved == nil {
+		r.moved = make(map[pollenlatch.Range]bool)
+	}
+	r.moved[o.Range] = true
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -209,6 +209,20 @@
 	require.LessOrEqual(t, d.numMoves-d.svc.NumRanges(), d.svc.NumRanges()/4+rangesPerGroup, "more ranges moved than necessary")
 }
 
+// Guards against servers that join together and get the same ranges in one plan, of which
+// only one gets them: a data centre that comes back, or servers that are warm again.
+func TestServersJoinTogether(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.planOnce()
+	for range 2 {
+		d.addServer()
+	}
+	d.planFor(5 * time.Second)
+	for id, n := range d.rangeCounts() {
+		require.InDelta(t, d.svc.NumRanges()/4, n, rangesPerGroup, "server %d", id)
+	}
+}
+
 // Guards against a server that gets no ranges for good, because it was lost for a moment
 // right after it had joined, while its first ranges were on their way.
 func TestServerLostWhileItJoins(t *testing.T) {
