--- a/place/place.go
+++ b/place/place.go
@@ -44,6 +44,10 @@
 	// reported run times, relative to the mean of the others. Such a server has
 	// probably just started and is still cold.
 	coldRunTimeFactor = 2
+	// maxCover is how many times its quota of ranges a warm server may own before cold
+	// servers get ranges too. After a start of the whole deployment no load is known, and
+	// the first warm server would get all ranges.
+	maxCover = 2
 )
 
 // Planner plans the moves of numeric services. The zero value is ready to use.
@@ -320,10 +324,12 @@
 
 // cheapestServer returns the server that should get the next range. A server whose
 // grants fill the reply to a heartbeat gets more only when all servers are full, and a
-// cold server only when the others are overloaded.
+// cold server only when the others are overloaded or own far more than their quota.
 func (r *round) cheapestServer() *server {
 	overflow := func(s *server) int { return s.keyRanges / maxKeyRanges }
-	avoidCold := slices.ContainsFunc(r.servers, func(s *server) bool { return !s.cold && overflow(s) == 0 && s.utilisation() < 1 })
+	avoidCold := slices.ContainsFunc(r.servers, func(s *server) bool {
+		return !s.cold && overflow(s) == 0 && s.utilisation() < 1 && float64(s.numRanges) < maxCover*s.quota
+	})
 	avoided := func(s *server) int {
 		if s.cold && avoidCold {
 			return 1
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -381,6 +381,21 @@
 			require.Equal(t, d.svc.NumRanges()/2, n, "server %d", id)
 		}
 	})
+	t.Run("all but one are cold", func(t *testing.T) {
+		d := newDeployment(t, 8)
+		for n := range d.servers[1:] {
+			d.servers[n+1].Endpoint.Cold = true
+		}
+		require.Len(t, d.planOnce(), d.svc.NumRanges())
+		require.LessOrEqual(t, d.rangeCounts()[1], maxCover*d.svc.NumRanges()/8+rangesPerGroup)
+		for n := range d.servers {
+			d.servers[n].Endpoint.Cold = false
+		}
+		d.planFor(10 * time.Second)
+		for id := range pollenlatch.InstanceID(8) {
+			require.Positive(t, d.rangeCounts()[id+1])
+		}
+	})
 	t.Run("the others are full", func(t *testing.T) {
 		d := newDeployment(t, 2)
 		d.planOnce()
