--- a/place/place_test.go
+++ b/place/place_test.go
@@ -233,6 +233,20 @@
 	}
 }
 
+// Guards against servers that join together and get the same ranges in one plan, of which
+// only one gets them: a data centre that comes back, or servers that are warm again.
+func TestServersJoinTogether(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.planOnce()
+	for range 2 {
+		d.addServer()
+	}
+	d.planFor(5 * time.Second)
+	for id, n := range d.rangeCounts() {
+		require.InDelta(t, d.svc.NumRanges()/4, n, rangesPerGroup, "server %d", id)
+	}
+}
+
 // Guards against a server that gets no ranges for good, because it was lost for a moment
 // right after it had joined, while its first ranges were on their way.
 func TestServerLostWhileItJoins(t *testing.T) {
@@ -443,6 +457,21 @@
 			require.Equal(t, d.svc.NumRanges()/2, n, "server %d", id)
 		}
 	})
+	t.Run("all but one are cold", func(t *testing.T) {
+		d := newDeployment(t, 8)
+		for n := range d.servers[1:] {
+			d.servers[n+1].Endpoint.Cold = true
+		}
+		require.Len(t, d.planOnce(), d.svc.NumRanges())
+		require.LessOrEqual(t, d.rangeCounts()[1], maxCover*d.svc.NumRanges()/8+rangesPerGroup)
+		for n := range d.servers {
+			d.servers[n].Endpoint.Cold = false
+		}
+		d.planFor(10 * time.Second)
+		for id := range pollenlatch.InstanceID(8) {
+			require.Positive(t, d.rangeCounts()[id+1])
+		}
+	})
 	t.Run("the others are full", func(t *testing.T) {
 		d := newDeployment(t, 2)
 		d.planOnce()
