--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -54,23 +54,30 @@
 	started    time.Time     // zero while it waits
 	startClock time.Duration // of the gauge, when it was started
 	predicted  time.Duration // run time by the slowness that the server stated then; 0 without
+	starved    bool          // its route gets too few slots
 	onDecision func(*pollenlatch.Failure)
 }
 
 // before reports whether r is started before o. Nested requests come first, since
-// the request that waits for each of them occupies a slot; then the more urgent
-// class; then requests that can still meet their objective; then the earliest
-// deadline.
+// the request that waits for each of them occupies a slot; then routes that get too few
+// slots; then the more urgent class; then requests that can still meet their objective;
+// then those whose callers have come back; then the earliest deadline.
 func (r *request) before(o *request, now time.Time) bool {
 	if r.Nested != o.Nested {
 		return r.Nested
 	}
+	if r.starved != o.starved {
+		return r.starved
+	}
 	if r.Class != o.Class {
 		return r.Class < o.Class
 	}
 	if rMisses, oMisses := r.wouldMiss(now), o.wouldMiss(now); rMisses != oMisses {
 		return oMisses
 	}
+	if rReturned, oReturned := r.Adaptive && r.Returned, o.Adaptive && o.Returned; rReturned != oReturned {
+		return rReturned
+	}
 	return r.effectiveDeadline(now).Before(o.effectiveDeadline(now))
 }
 
@@ -122,6 +129,7 @@
 	arrivalRate  float64   // requests a second, over demandWindow
 	refusalRate  float64   // refused requests a second, over demandWindow
 	decayedAt    time.Time // time of the last decay of the averages above
+	adaptive     adaptive
 }
 
 func (s *schedule) typicalRunTime(route string) time.Duration {
@@ -215,7 +223,7 @@
 
 // estimateStart returns when a request is likely to start.
 func (s *schedule) estimateStart(r *request, now time.Time) time.Time {
-	if len(s.running) < s.slots && (len(s.waiting) == 0 || s.waitsForLinkOnly()) {
+	if s.freeSlots(r.Nested) > 0 && (len(s.waiting) == 0 || s.waitsForLinkOnly()) {
 		return now.Add(s.limitWait(1, now))
 	}
 	var ahead time.Duration
@@ -239,7 +247,7 @@
 // limitDelay returns the time until the limit of the server allows a waiting request
 // that has a free slot. delayed is false when there is none.
 func (s *schedule) limitDelay(now time.Time) (d time.Duration, delayed bool) {
-	if s.limit() == 0 || len(s.waiting) == 0 || len(s.running) >= s.slots {
+	if s.limit() == 0 || len(s.waiting) == 0 || s.freeForWaiting() <= 0 {
 		return 0, false
 	}
 	return s.limitWait(1, now), true
@@ -278,6 +286,9 @@
 	}
 	r.queueBody(now)
 	s.recordArrival(r, now)
+	if r.Adaptive {
+		s.adaptive.arrive(r, now)
+	}
 	if s.slots <= 0 {
 		return noServer()
 	}
@@ -305,7 +316,7 @@
 	if len(s.waiting) >= maxWaiting || end.After(r.Deadline) {
 		return s.refusal(r, wait, now, "the response would miss the deadline")
 	}
-	if r.Nested || !r.missesObjective(end) {
+	if r.Nested || r.starved || !r.missesObjective(end) {
 		return nil
 	}
 	delayed := now.Add(time.Duration(float64(wait) / s.spareShare(r)))
@@ -319,6 +330,9 @@
 // expected wait, limited by the time left until the deadline.
 func (s *schedule) refusal(r *request, wait time.Duration, now time.Time, detail string) *pollenlatch.Failure {
 	s.refusalRate += 1 / demandWindow.Seconds()
+	if r.Adaptive {
+		s.adaptive.refuse(r, now)
+	}
 	left := r.Deadline.Sub(now)
 	f := notRun(pollenlatch.ReasonOverloaded, statusUnavailable, fmt.Sprintf(
 		"%s: expected wait %d ms, typical run and transfer %d ms, %d ms left; %d of %d slots occupied, %d waiting, offered load %.1f slots, %.1f of the link and %.1f for bodies, limit %.1f/s",
@@ -337,7 +351,7 @@
 // startWaiting starts waiting requests while there are free slots.
 func (s *schedule) startWaiting(now time.Time) {
 	s.updateLoad(now)
-	for len(s.running) < s.slots && s.limitWait(1, now) == 0 {
+	for s.freeForWaiting() > 0 && s.limitWait(1, now) == 0 {
 		r := s.popNext(now)
 		if r == nil {
 			return
@@ -349,6 +363,9 @@
 			r.Body.Start(now)
 		}
 		s.running[r] = struct{}{}
+		if r.Adaptive {
+			s.adaptive.start(r)
+		}
 		r.onDecision(nil)
 	}
 }
@@ -449,6 +466,9 @@
 	}
 	delete(s.running, r)
 	s.recordRun(r, now)
+	if r.Adaptive {
+		s.adaptive.finish(r)
+	}
 	s.startWaiting(now)
 }
 
--- a/hint.go
+++ b/hint.go
@@ -17,4 +17,9 @@
 	Slots      uint32 `protobuf:"varint,4,opt,name=slots"`    // that the daemon uses at present
 	Slowness   uint32 `protobuf:"varint,5,opt,name=slowness"` // percent; 0 is unknown
 	Cold       bool   `protobuf:"varint,6,opt,name=cold"`     // the server is cold
+	// LowestClass is the class of the least urgent request that waits or runs; 0 is none.
+	LowestClass Class `protobuf:"varint,7,opt,name=lowest"`
+	// RefusedClass is the most urgent class of which the daemon has just refused a request
+	// for lack of slots, although the request could still have met its objective; 0 is none.
+	RefusedClass Class `protobuf:"varint,8,opt,name=refused"`
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -54,6 +54,10 @@
 	// Body is the large body of the request, which is admitted to the network link
 	// together with the request; nil when there is none to wait for.
 	Body IncomingBody
+	// Returned says that the caller was refused before and has come back.
+	Returned bool
+	// Adaptive says that the parts for overload apply; see hints.Applies.
+	Adaptive bool
 }
 
 // Admitter admits requests to the local server.
--- a/request.go
+++ b/request.go
@@ -39,6 +39,7 @@
 	Nested      bool          `protobuf:"varint,22,opt,name=inner"`     // sent by a server while it runs another request
 	Retried     bool          `protobuf:"varint,23,opt,name=repeat"`    // it was sent to a server before, or is nested in a request that was
 	LargeBody   bool          `protobuf:"varint,24,opt,name=largebody"` // the body is large
+	Returned    bool          `protobuf:"varint,25,opt,name=returned"`  // the caller was refused before and has come back
 }
 
 // Routed reports whether the request matched a Route.
@@ -66,6 +67,9 @@
 	// as that is known. SoftDeadline accounts for it.
 	Waited time.Duration
 	Body   io.Reader // nil when there is none
+	// ParentRoute is the route of the request that the local server runs while it sends
+	// this one; empty when that is not known.
+	ParentRoute string
 }
 
 // ResponseHead is a response of a server without its body.
