--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"pollenlatch/front"
 	"pollenlatch/gauge"
 	"pollenlatch/halt"
+	"pollenlatch/hints"
 	"pollenlatch/link"
 	"pollenlatch/local"
 	"pollenlatch/quota"
@@ -111,6 +112,7 @@
 	limit           quota.Monitor // of the local server
 	crashes         crash.Monitor
 	gauge           gauge.Gauge // load of the local server
+	adaptive        hints.Condition
 	recordTransfers pendingCalls[bool]
 	imported        importedRecords
 	eventRequests   pendingCalls[*pollenlatch.EventsReply]
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -79,6 +79,7 @@
 // observeServer applies what a response says about the local server. The limit is in
 // force at once here; the tracker announces it.
 func (d *Daemon) observeServer(s pollenlatch.ServerSignals) {
+	d.adaptive.RecordLoad(s.Load)
 	d.mu.Lock()
 	if s.Incarnation != d.endpoint.Incarnation {
 		d.mu.Unlock()
@@ -176,6 +177,9 @@
 	return d.control.Self(), d.gauge.Slots(int(e.Slots), time.Now()) - running - waiting
 }
 
+// isAdaptive reports whether the parts for overload apply.
+func (d *Daemon) isAdaptive() bool { return d.adaptive.Applies(d.control.View()) }
+
 func (d *Daemon) queueLimit(service string) int {
 	s, _ := d.control.View().Service(service)
 	return int(s.QueueLimit)
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -80,6 +80,7 @@
 	}
 	if d.cfg.Platform != nil {
 		serveCfg.ReadAheadBytes, serveCfg.Intake = readAheadBytes, incoming
+		serveCfg.Adaptive = d.isAdaptive
 	}
 	d.serve = serve.New(serveCfg)
 	var forwardedHandler, localHandler pollenlatch.Handler = nil, d.serve
@@ -136,6 +137,7 @@
 	if p := d.cfg.Platform; p != nil {
 		frontCfg.LocalService, frontCfg.IdleTimeout, frontCfg.Pacer, frontCfg.LookupNested = p.LocalService, callerIdleTimeout, pacer, d.serve.IsNested
 		frontCfg.ConfigCurrent = d.control.HasLease
+		frontCfg.Calls = d.serve
 	} else {
 		frontCfg.Recorder = &d.events
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pollenlatch"
+	"pollenlatch/calls"
 	"pollenlatch/crash"
 	"pollenlatch/dedup"
 	"pollenlatch/logs"
@@ -48,6 +49,11 @@
 	Evacuated func(sharded bool) bool
 	// ReportCleared is called after a suspect has completed; nil reports nothing.
 	ReportCleared func(pollenlatch.Fingerprint)
+	// Adaptive reports whether the parts for overload apply; nil: they do not.
+	Adaptive func() bool
+	// ExpectedWait returns how long a nested call is likely to wait at the best server of
+	// a service, or false when that is not known; nil: it never is.
+	ExpectedWait func(service string) (time.Duration, bool)
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
 	// is passed on; 0 disables buffering.
 	ReadAheadBytes int
@@ -80,7 +86,8 @@
 	meter      *meter
 	logLimiter *logs.RequestLimiter
 
-	active activeRequests
+	active   activeRequests
+	forecast calls.Forecast
 }
 
 // New returns a Server with the defaults of cfg filled in.
@@ -100,6 +107,12 @@
 	if cfg.ReportCleared == nil {
 		cfg.ReportCleared = func(pollenlatch.Fingerprint) {}
 	}
+	if cfg.Adaptive == nil {
+		cfg.Adaptive = func() bool { return false }
+	}
+	if cfg.ExpectedWait == nil {
+		cfg.ExpectedWait = func(string) (time.Duration, bool) { return 0, false }
+	}
 	return &Server{cfg: cfg, meter: newMeter(cfg), logLimiter: logs.NewRequestLimiter()}
 }
 
@@ -185,6 +198,12 @@
 			return nil, fail(f)
 		}
 	}
+	adaptive := s.cfg.Adaptive()
+	if adaptive {
+		if f := s.checkCalls(r, time.Now()); f != nil {
+			return nil, fail(f)
+		}
+	}
 	incoming := s.beginBody(r)
 	defer incoming.End(false)
 	release, err := s.cfg.Admitter.Admit(ctx, pollenlatch.AdmitRequest{
@@ -197,6 +216,8 @@
 		Nested:       r.Nested,
 		Bulk:         r.Bulk,
 		Body:         incoming.IncomingBody,
+		Returned:     r.Returned,
+		Adaptive:     adaptive,
 	})
 	if err != nil {
 		incoming.countRefusal()
@@ -293,8 +314,11 @@
 // exchange sends a request to the server. The request is active until its response
 // begins, because a server waits for its nested requests before it responds.
 func (s *Server) exchange(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
-	s.active.begin(r.ID, r.Retried)
+	s.active.begin(r.ID, r.Route, r.Retried)
 	defer s.active.end(r.ID)
+	if r.Routed() && s.cfg.Adaptive() {
+		s.forecast.RecordRun(r.Route, time.Now())
+	}
 	return s.cfg.Exchanger.Exchange(ctx, r, check)
 }
 
--- a/state/item.go
+++ b/state/item.go
@@ -26,6 +26,7 @@
 type itemSet struct {
 	byKey        map[itemKey]pollenlatch.ConfigItem
 	routesByHost map[string][]*pollenlatch.Route // by lower-case host; the longest prefix first
+	largeBodies  bool                            // a route has large request bodies
 }
 
 // decideChange decides on a configuration change. Items whose revision is not
@@ -132,6 +133,7 @@
 				f.add("routes."+k.name, "service %q does not exist", ws.Service)
 			}
 		}
+		s.largeBodies = s.largeBodies || i.Route.LargeBody
 		host := strings.ToLower(i.Route.Host)
 		s.routesByHost[host] = append(s.routesByHost[host], i.Route)
 	}
@@ -186,6 +188,9 @@
 	return pollenlatch.Route{}, false
 }
 
+// HasLargeBodies reports whether a route has large request bodies.
+func (s *State) HasLargeBodies() bool { return s.items != nil && s.items.largeBodies }
+
 // Limits returns the limits for callers, or false when none are set.
 func (s *State) Limits() (pollenlatch.Limits, bool) {
 	i, ok := s.items.get(itemKey{kind: pollenlatch.ItemLimits})
