--- a/admit/adaptive.go
+++ b/admit/adaptive.go
@@ -5,19 +5,10 @@
 	"time"
 
 	"pollenlatch"
+	"pollenlatch/fair"
 )
 
 const (
-	// shareWindow is the time over which the requests of a route, and those that are
-	// started, are averaged.
-	shareWindow = 4 * time.Second
-	// minRouteShare is how often the requests of a route are started at least, relative
-	// to all requests. Callers need a quarter; the margin makes up for requests that are
-	// started and then fail.
-	minRouteShare = 0.3
-	// minShareRequests is the number of recent requests of a route below which it is not
-	// said to be starved.
-	minShareRequests = 4
 	// reservedDivisor limits the slots that are reserved for nested requests to one in
 	// reservedDivisor, and to one at smaller servers. A nested request waits for one
 	// completion at most, so more would leave slots idle.
@@ -34,89 +25,37 @@
 type adaptive struct {
 	nestedSlots   float64 // offered load of nested requests in slots, over loadWindow
 	nestedRunning int
-	routes        map[shareKey]*routeShare
-	all           routeShare
+	shares        fair.Shares
 	decayedAt     time.Time
 	refusedAt     [numClasses]time.Time // last refusal of a request that could have met its objective
 }
 
-// shareKey is a group of requests that keeps a minimum share. The requests whose callers
-// have come back are a group of their own: their objective has often passed, so the
-// others of their route would always go first.
-type shareKey struct {
-	route    string
-	returned bool
-}
-
-// routeShare holds exponentially decaying counts over shareWindow.
-type routeShare struct {
-	offered float64
-	started float64
-}
-
-func (s *routeShare) decay(x float64) { s.offered, s.started = s.offered*x, s.started*x }
-
-func (a *adaptive) decay(now time.Time) {
-	if a.decayedAt.IsZero() {
-		a.decayedAt = now
-	}
-	elapsed := max(0, now.Sub(a.decayedAt)).Seconds()
-	if elapsed == 0 {
-		return
-	}
-	a.decayedAt = now
-	a.nestedSlots *= math.Exp(-elapsed / loadWindow.Seconds())
-	x := math.Exp(-elapsed / shareWindow.Seconds())
-	a.all.decay(x)
-	for k, s := range a.routes {
-		if s.decay(x); s.offered < 0.01 {
-			delete(a.routes, k)
-		}
-	}
-}
-
-func (a *adaptive) share(r *request) *routeShare {
-	k := shareKey{r.Route, r.Returned}
-	s := a.routes[k]
-	if s == nil {
-		if a.routes == nil || len(a.routes) >= maxRoutes {
-			a.routes = make(map[shareKey]*routeShare)
-		}
-		s = new(routeShare)
-		a.routes[k] = s
-	}
-	return s
-}
+// group returns the group of requests for whose share a request counts.
+func group(r *request) fair.Group { return fair.Group{Route: r.Route, Returned: r.Returned} }
 
 // arrive counts a new request, and decides whether its route is starved: then it counts
-// as started at once, so that of several requests that arrive together only as many go
+// as served at once, so that of several requests that arrive together only as many go
 // first as the minimum share needs.
 func (a *adaptive) arrive(r *request, now time.Time) {
-	a.decay(now)
+	if !a.decayedAt.IsZero() {
+		a.nestedSlots *= math.Exp(-now.Sub(a.decayedAt).Seconds() / loadWindow.Seconds())
+	}
+	a.decayedAt = now
 	if r.Nested {
 		a.nestedSlots += r.runTime.Seconds() / loadWindow.Seconds()
 	}
-	s := a.share(r)
-	s.offered++
-	a.all.offered++
-	if s.offered >= minShareRequests && s.started*a.all.offered < minRouteShare*a.all.started*s.offered {
-		r.starved = true
-		a.countStart(s)
+	if r.starved = a.shares.Offer(group(r), now); r.starved {
+		a.shares.Serve(group(r))
 	}
 }
 
-func (a *adaptive) countStart(s *routeShare) {
-	s.started++
-	a.all.started++
-}
-
 // start counts a request that is started.
 func (a *adaptive) start(r *request) {
 	if r.Nested {
 		a.nestedRunning++
 	}
 	if !r.starved {
-		a.countStart(a.share(r))
+		a.shares.Serve(group(r))
 	}
 }
 
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -79,7 +79,10 @@
 // observeServer applies what a response says about the local server. The limit is in
 // force at once here; the tracker announces it.
 func (d *Daemon) observeServer(s pollenlatch.ServerSignals) {
-	d.adaptive.RecordLoad(s.Load)
+	if s.Load != nil {
+		d.adaptive.RecordLoad(s.Load)
+		d.slowness.Store(s.Load.Slowness)
+	}
 	d.mu.Lock()
 	if s.Incarnation != d.endpoint.Incarnation {
 		d.mu.Unlock()
@@ -180,6 +183,24 @@
 // isAdaptive reports whether the parts for overload apply.
 func (d *Daemon) isAdaptive() bool { return d.adaptive.Applies(d.control.View()) }
 
+// localHint returns what other daemons need to know of the load of the local server.
+func (d *Daemon) localHint() *pollenlatch.ServerHint {
+	scheduler, ok := d.admitter.(*admit.Scheduler)
+	if !ok {
+		return nil
+	}
+	h := scheduler.Hint()
+	e, _ := d.localServer()
+	h.Slowness, h.Cold = d.slowness.Load(), e.Cold
+	return h
+}
+
+// expectedWait returns how long a request is likely to wait at the best server of a
+// service, or false when that is not known.
+func (d *Daemon) expectedWait(service string) (time.Duration, bool) {
+	return d.serverHints.Wait(d.control.View().Endpoints(service), time.Now())
+}
+
 func (d *Daemon) queueLimit(service string) int {
 	s, _ := d.control.View().Service(service)
 	return int(s.QueueLimit)
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -81,6 +81,7 @@
 	if d.cfg.Platform != nil {
 		serveCfg.ReadAheadBytes, serveCfg.Intake = readAheadBytes, incoming
 		serveCfg.Adaptive = d.isAdaptive
+		serveCfg.Hint, serveCfg.ExpectedWait = d.localHint, d.expectedWait
 	}
 	d.serve = serve.New(serveCfg)
 	var forwardedHandler, localHandler pollenlatch.Handler = nil, d.serve
@@ -130,6 +131,7 @@
 			_, free := d.localFreeSlots()
 			return free > 0
 		}
+		routerCfg.Hints, routerCfg.Adaptive = &d.serverHints, d.isAdaptive
 		routerCfg.ServiceBudgets = &pick.ServiceBudgets{Ratio: p.RetryBudget.Ratio, Burst: p.RetryBudget.Burst}
 	}
 	router := front.NewRouter(routerCfg)
--- a/front/retry.go
+++ b/front/retry.go
@@ -57,12 +57,16 @@
 	timeLeft   time.Duration
 	replayable bool // the body can be sent again
 
+	mustNotWait  bool    // it is nested, and the parts for overload apply
 	refusedShare float64 // share of the requests to the service, or to the owner, that is refused
 }
 
 // maxOverloadHops returns after how many refusals because of overload the caller is
 // told.
 func (a failedAttempt) maxOverloadHops() int {
+	if a.mustNotWait { // its parent has run in vain if it is refused
+		return maxHops
+	}
 	if a.refusedShare > maxRefusedShare {
 		return 1
 	}
@@ -139,13 +143,13 @@
 		outcome: f.Outcome, reason: f.Reason, sent: f.Sent, sends: p.sends, maxSends: int(max(p.request.MaxAttempts, 1)),
 		hops: p.attempts, idempotent: p.target.idempotent, keyed: p.target.owner.Instance != 0, hasUntried: p.hasUntried,
 		timeLeft: time.Until(p.request.Deadline), replayable: p.body == nil || !p.body.notRewindable(),
-		refusedShare: p.refusedShare(),
+		refusedShare: p.refusedShare(), mustNotWait: p.request.Nested && p.adaptive(),
 	}
 	decision := a.decide()
 	if decision == noRetry || (f.Reason == pollenlatch.ReasonConnectionLost && !crash.MayRetry(p.cfg.Control.View(), p.request)) {
 		return false
 	}
-	if p.sends > 0 && !p.cfg.ServiceBudgets.TakeRetry(p.request.Service) {
+	if p.sends > 0 && !p.takeRetry() {
 		p.retriesRefused.Inc()
 		return false
 	}
@@ -165,6 +169,23 @@
 	}
 }
 
+// hasRetry reports whether the budget of the service has a token for a retry. A share of
+// it is kept for nested requests.
+func (p *pendingRequest) hasRetry() bool {
+	if p.request.Nested {
+		return p.cfg.ServiceBudgets.HasNestedRetry(p.request.Service)
+	}
+	return p.cfg.ServiceBudgets.HasRetry(p.request.Service)
+}
+
+// takeRetry takes a token of the budget of the service, or returns false.
+func (p *pendingRequest) takeRetry() bool {
+	if p.request.Nested {
+		return p.cfg.ServiceBudgets.TakeNestedRetry(p.request.Service)
+	}
+	return p.cfg.ServiceBudgets.TakeRetry(p.request.Service)
+}
+
 // refusedShare returns the share of the requests to the target that is refused.
 func (p *pendingRequest) refusedShare() float64 {
 	k, ok := p.throttleTarget()
@@ -195,7 +216,7 @@
 		maxSends: int(max(p.request.MaxAttempts, 1)), hops: p.attempts, idempotent: true,
 		timeLeft: time.Until(p.request.Deadline), replayable: p.body == nil || !p.body.notRewindable(),
 	}
-	if a.decide() != retryNow || !p.cfg.ServiceBudgets.HasRetry(p.request.Service) {
+	if a.decide() != retryNow || !p.hasRetry() {
 		return nil
 	}
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
--- a/front/router.go
+++ b/front/router.go
@@ -14,6 +14,8 @@
 
 	"pollenlatch"
 	"pollenlatch/crash"
+	"pollenlatch/hints"
+	"pollenlatch/logs"
 	"pollenlatch/pick"
 )
 
@@ -42,6 +44,8 @@
 	// OwnServerFree reports whether the local server can run another request now. It then
 	// gets the requests with large bodies; nil: it gets them like any other server.
 	OwnServerFree func() bool
+	Hints         *hints.Table // of the daemons beside the servers; nil keeps them in the router
+	Adaptive      func() bool  // reports whether the parts for overload apply; nil: they do not
 	DC            string       // of this instance
 	Metrics       *metrics.Set // nil exports no metrics
 	// Evacuated reports whether the servers of a data centre must get no requests that
@@ -59,6 +63,9 @@
 	throttled      *metrics.Counter // requests refused because their target refuses most of them
 	abandoned      *metrics.Counter // requests not sent because their callers had disconnected
 	ownServer      *metrics.Counter // requests with large bodies that the own server got instead of the picked one
+	full           *metrics.Counter // requests refused because their servers are known to be full
+	fullLog        *logs.Limiter
+	shares         serviceShares
 	throttle       throttle
 	leaving        leavingServers
 }
@@ -77,12 +84,17 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
+	if cfg.Hints == nil {
+		cfg.Hints = new(hints.Table)
+	}
 	return &Router{
 		cfg:            cfg,
 		retries:        cfg.Metrics.GetOrCreateCounter("pollenlatch_front_retries_total"),
 		retriesRefused: cfg.Metrics.GetOrCreateCounter("pollenlatch_front_retries_refused_total"),
 		waits:          cfg.Metrics.GetOrCreateCounter("pollenlatch_front_waits_total"),
 		throttled:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_throttled_total"),
+		full:           cfg.Metrics.GetOrCreateCounter("pollenlatch_front_full_total"),
+		fullLog:        logs.NewLimiter(fullLinesPerSecond, fullLinesPerSecond),
 		abandoned:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_abandoned_total"),
 		ownServer:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_own_server_total"),
 	}
@@ -96,10 +108,12 @@
 	tried      pollenlatch.Set[pollenlatch.InstanceID]
 	backoff    *backoff.ExponentialBackOff
 	attempts   int
-	sends      int    // attempts that reached a server
-	hasUntried bool   // there is an endpoint that was not tried
-	mayHaveRun bool   // an earlier attempt may have run
-	target     target // of the last attempt
+	sends      int                    // attempts that reached a server
+	hasUntried bool                   // there is an endpoint that was not tried
+	mayHaveRun bool                   // an earlier attempt may have run
+	target     target                 // of the last attempt
+	usable     []pollenlatch.Instance // endpoints that may run a request that is not routed by shard
+	starved    bool                   // its route is served too rarely
 }
 
 // target is the destination of one attempt.
@@ -131,6 +145,11 @@
 		} else {
 			rt.cfg.ServiceBudgets.RecordRequest(r.Service)
 		}
+		if p.adaptive() {
+			if p.starved = rt.shares.offer(r, time.Now()); r.Nested {
+				rt.cfg.ServiceBudgets.KeepForNested(r.Service)
+			}
+		}
 		prepareRetry = p.prepareRoutedRetry
 	} else {
 		rt.cfg.RetryBudget.RecordRequest()
@@ -140,17 +159,23 @@
 		if f != nil {
 			return nil, p.finalFailure(f)
 		}
-		if f := p.checkThrottle(); f != nil {
+		if f := p.checkFull(); f != nil {
 			return nil, p.finalFailure(f)
 		}
+		if f := p.checkThrottle(); f != nil {
+			return nil, p.finalFailure(p.withRetryAfter(f))
+		}
 		resp, f := p.sendAttempt(ctx)
 		if f == nil {
 			p.recordThrottle(nil)
+			if p.adaptive() && resp.Status < http.StatusInternalServerError {
+				rt.shares.serve(r)
+			}
 			return resp, nil
 		}
 		p.recordThrottle(f)
 		if !prepareRetry(ctx, f) {
-			return nil, p.finalFailure(f)
+			return nil, p.finalFailure(p.withRetryAfter(f))
 		}
 	}
 }
@@ -188,7 +213,7 @@
 		return nil
 	}
 	admitted, retryAfter := p.throttle.admit(k, time.Now())
-	if admitted {
+	if admitted || p.starved {
 		return nil
 	}
 	p.throttled.Inc()
@@ -340,10 +365,11 @@
 		return pollenlatch.ReasonNoEndpoint, nil
 	}
 	p.hasUntried = len(p.tried)+1 < len(usable)
-	i, done, ok := p.cfg.Picker.Pick(usable, p.cfg.DC, p.tried)
+	p.usable = usable
+	i, done, ok := p.pick(usable)
 	if !ok && len(p.tried) > 0 {
 		p.tried = nil
-		i, done, ok = p.cfg.Picker.Pick(usable, p.cfg.DC, nil)
+		i, done, ok = p.pick(usable)
 	}
 	if !ok {
 		return pollenlatch.ReasonNoEndpoint, nil
@@ -357,7 +383,7 @@
 	t := p.target
 	req := *p.request
 	req.Version, req.Shard, req.Fence, req.Idempotent = t.version, t.owner.Shard, t.owner.Fence, t.idempotent
-	req.Retried = req.Retried || p.sends > 0
+	req.Retried, req.Returned = req.Retried || p.sends > 0, req.Waited > 0
 	start := time.Now()
 	if p.body != nil {
 		if req.Body = p.body.rewind(); req.Body == nil {
@@ -376,8 +402,11 @@
 		resp, err = p.cfg.Forwarder.Forward(ctx, t.instance.Addr, &req)
 	}
 	if err != nil {
-		return nil, p.reportFailure(asFailure(err), start)
+		f := asFailure(err)
+		p.recordHint(f.Hint)
+		return nil, p.reportFailure(f, start)
 	}
+	p.recordHint(resp.Hint)
 	if resp.Leaving && t.instance.Endpoint != nil {
 		p.leaving.record(t.instance.Endpoint.Incarnation, time.Now())
 	}
--- a/pick/picker.go
+++ b/pick/picker.go
@@ -145,6 +145,7 @@
 	ejectedUntil    pollenlatch.MonoTime
 	ejections       int     // ejections in a row
 	coldRate        float64 // requests a second that the server gets while it is cold; 0 when it is not
+	hint            hint
 }
 
 // Pick implements pollenlatch.Picker.
@@ -153,19 +154,7 @@
 	defer p.mu.Unlock()
 	now := p.cfg.Clock.Now()
 	p.sweep(now)
-	e := p.choose(candidates, dc, tried, now)
-	if e == nil {
-		return pollenlatch.Instance{}, nil, false
-	}
-	if e.inflight == 0 {
-		e.lastProgress = now
-	}
-	e.inflight++
-	var once sync.Once
-	done := func(o pollenlatch.Outcome, r pollenlatch.Reason, took time.Duration) {
-		once.Do(func() { p.done(e, o, r, took) })
-	}
-	return e.instance, done, true
+	return p.begin(p.choose(candidates, dc, tried, now), now)
 }
 
 // choose picks the local server while it has a free slot and is fast enough.
@@ -236,7 +225,11 @@
 // cost returns the estimated time in seconds that a further request takes.
 func (p *Picker) cost(e *endpoint, now pollenlatch.MonoTime) float64 {
 	latency, ahead := p.estimate(e, now)
-	return latency * (ahead + 1)
+	cost := latency * (ahead + 1)
+	if w := e.hint.weight(now); w > 0 {
+		cost += w * (e.hintedCost(latency) - cost)
+	}
+	return cost
 }
 
 // shouldSpill reports whether an endpoint in this data centre is so much more
@@ -244,6 +237,9 @@
 // of the slots of an endpoint is added to the requests ahead, so that a few
 // requests do not tip the balance.
 func (p *Picker) shouldSpill(near, far *endpoint, now pollenlatch.MonoTime) bool {
+	if spill, known := p.spillByHint(near, far, now); known {
+		return spill
+	}
 	nearLatency, nearAhead := p.estimate(near, now)
 	farLatency, farAhead := p.estimate(far, now)
 	return nearLatency*(nearAhead+near.halfSlots()) > spilloverFactor*farLatency*(farAhead+far.halfSlots())
--- a/pick/service_budgets.go
+++ b/pick/service_budgets.go
@@ -1,6 +1,10 @@
 package pick
 
-import "sync"
+import (
+	"sync"
+
+	"pollenlatch"
+)
 
 // ServiceBudgets limits, for each service, the retries that send a request to a
 // further server. The budget of a service grows with the requests that this
@@ -13,8 +17,12 @@
 
 	mu     sync.Mutex
 	tokens map[string]float64
+	nested pollenlatch.Set[string] // services of whose budget a share is kept for nested requests
 }
 
+// nestedShare is the share of Burst that is kept for the retries of nested requests.
+const nestedShare = 0.25
+
 // maxServices limits the services whose budget is kept.
 const maxServices = 4096
 
@@ -34,18 +42,50 @@
 	r.tokens[r.ensure(service)]--
 }
 
+// KeepForNested keeps a share of the budget of a service for the retries of nested
+// requests, whose parents hold slots meanwhile, so that retries of new work do not use
+// it up. The budget as a whole stays the same.
+func (r *ServiceBudgets) KeepForNested(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.nested.Has(service) && len(r.nested) < maxServices {
+		r.nested = r.nested.With(service)
+	}
+}
+
 // HasRetry reports whether a retry is allowed now.
 func (r *ServiceBudgets) HasRetry(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.tokens[r.ensure(service)] >= 1
+	return r.hasRetry(service, false)
+}
+
+// HasNestedRetry reports whether a retry of a nested request is allowed now.
+func (r *ServiceBudgets) HasNestedRetry(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasRetry(service, true)
+}
+
+func (r *ServiceBudgets) hasRetry(service string, nested bool) bool {
+	needed := 1.0
+	if !nested && r.nested.Has(service) {
+		needed = max(needed, min(needed+nestedShare*r.Burst, r.Burst))
+	}
+	return r.tokens[r.ensure(service)] >= needed
 }
 
 // TakeRetry takes a token for a retry. It returns false when there is none.
-func (r *ServiceBudgets) TakeRetry(service string) bool {
+func (r *ServiceBudgets) TakeRetry(service string) bool { return r.take(service, false) }
+
+// TakeNestedRetry takes a token for a retry of a nested request. It returns false when
+// there is none.
+func (r *ServiceBudgets) TakeNestedRetry(service string) bool { return r.take(service, true) }
+
+func (r *ServiceBudgets) take(service string, nested bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.tokens[r.ensure(service)] < 1 {
+	if !r.hasRetry(service, nested) {
 		return false
 	}
 	r.tokens[service]--
--- a/pick/service_budgets_test.go
+++ b/pick/service_budgets_test.go
@@ -63,3 +63,22 @@
 		require.True(t, r.TakeRetry("b"))
 	})
 }
+
+// Retries of new work must not use up the budget of nested requests, whose parents have
+// run in vain without a retry; and a small budget must still allow retries of new work.
+func TestBudgetOfNestedRequests(t *testing.T) {
+	for burst, forNew := range map[float64]int{8: 6, 1: 1} {
+		b := ServiceBudgets{Burst: burst}
+		b.KeepForNested("s")
+		taken := 0
+		for b.HasRetry("s") && b.TakeRetry("s") {
+			taken++
+		}
+		require.Equal(t, forNew, taken)
+		require.False(t, b.TakeRetry("s"))
+		for b.HasNestedRetry("s") && b.TakeNestedRetry("s") {
+			taken++
+		}
+		require.Equal(t, int(burst), taken, "the budget as a whole")
+	}
+}
--- a/serve/calls_test.go
+++ b/serve/calls_test.go
@@ -102,3 +102,40 @@
 	route, _ = a.recordCall("a7.3")
 	require.Empty(t, route)
 }
+
+// Without the figures in responses and failures, other daemons send requests to full
+// servers. They must be those of the server of the request.
+func TestHintInResponsesAndFailures(t *testing.T) {
+	h := newHarness()
+	adaptive := true
+	shared := &pollenlatch.Failure{Outcome: pollenlatch.OutcomeNotRun, Reason: pollenlatch.ReasonUnreachable, Status: 503}
+	h.server = New(Config{
+		Control: h.control, Admitter: h.admitter, Exchanger: h.exchanger, Records: h.records,
+		Endpoint: func() (pollenlatch.Endpoint, bool) { return h.endpoint, true },
+		Adaptive: func() bool { return adaptive },
+		Hint:     func() *pollenlatch.ServerHint { return &pollenlatch.ServerHint{Slots: 9} },
+	})
+	h.control.view.service.Keyed = false
+	call := func() (*pollenlatch.Response, *pollenlatch.Failure) {
+		r := newRequest()
+		r.Route, r.Shard, r.IdempotencyKey = "book", pollenlatch.Shard{}, ""
+		resp, err := h.server.Handle(t.Context(), r)
+		if err != nil {
+			return nil, asFailure(err)
+		}
+		require.NoError(t, resp.Body.Close())
+		return resp, nil
+	}
+	resp, _ := call()
+	require.Equal(t, uint32(9), resp.Hint.Slots)
+	h.exchanger.err = shared
+	_, f := call()
+	require.Equal(t, uint32(9), f.Hint.Slots)
+	require.Nil(t, shared.Hint, "a failure that is shared must not be changed")
+	h.endpoint.Service = "other"
+	_, f = call()
+	require.Nil(t, f.Hint, "the server of another service")
+	h.endpoint.Service, h.exchanger.err, adaptive = "claims", nil, false
+	resp, _ = call()
+	require.Nil(t, resp.Hint)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -51,6 +51,9 @@
 	ReportCleared func(pollenlatch.Fingerprint)
 	// Adaptive reports whether the parts for overload apply; nil: they do not.
 	Adaptive func() bool
+	// Hint returns what other daemons need to know of the load of the local server; nil:
+	// they are told nothing.
+	Hint func() *pollenlatch.ServerHint
 	// ExpectedWait returns how long a nested call is likely to wait at the best server of
 	// a service, or false when that is not known; nil: it never is.
 	ExpectedWait func(service string) (time.Duration, bool)
@@ -128,13 +131,30 @@
 		if r.Routed() {
 			s.logFailure(r, f, time.Since(start))
 		}
+		if h := s.hint(r); h != nil {
+			g := *f
+			g.Hint = h
+			return nil, &g
+		}
 		return nil, f
 	}
 	s.meter.responses.Inc()
-	resp.OwnerAddr = s.cfg.FrontAddr
+	resp.OwnerAddr, resp.Hint = s.cfg.FrontAddr, s.hint(r)
 	return resp, nil
 }
 
+// hint returns what the response to a request, or its failure, says of the load of the
+// local server; nil when that is not the server of the request.
+func (s *Server) hint(r *pollenlatch.Request) *pollenlatch.ServerHint {
+	if s.cfg.Hint == nil || !r.Routed() || !s.cfg.Adaptive() {
+		return nil
+	}
+	if e, ok := s.cfg.Endpoint(); !ok || e.Service != r.Service || !e.Ready {
+		return nil
+	}
+	return s.cfg.Hint()
+}
+
 func (s *Server) handle(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
 	service, owner, err := s.checkOwner(ctx, r)
 	if err != nil {
