--- a/admit/adaptive.go
+++ b/admit/adaptive.go
@@ -15,6 +15,10 @@
 	reservedDivisor = 8
 	// minNestedSlots is the load of nested requests, in slots, from which one is reserved.
 	minNestedSlots = 0.05
+	// refusalTime is the time that a refusal takes to the caller at most. A request that
+	// would be started later than that before its deadline is refused instead, because a
+	// refusal that arrives after the deadline tells the caller nothing.
+	refusalTime = 40 * time.Millisecond
 	// refusalMemory is how long a refusal is told to other daemons.
 	refusalMemory = 250 * time.Millisecond
 )
@@ -93,6 +97,15 @@
 	return 0
 }
 
+// latestStart returns the time until which a request waits for a slot. Those for which the
+// parts for overload do not apply wait until their deadline.
+func (r *request) latestStart() time.Time {
+	if !r.Adaptive {
+		return r.Deadline
+	}
+	return r.Deadline.Add(-max(refusalTime, time.Duration(minRunShare*float64(r.runTime))))
+}
+
 // freeSlots returns how many slots are free for a request.
 func (s *schedule) freeSlots(nested bool) int {
 	free := s.slots - len(s.running)
--- a/admit/adaptive_test.go
+++ b/admit/adaptive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -150,3 +151,36 @@
 		h.sched.hint(h.now)
 	}
 }
+
+// Guards against a request that is held until its deadline although it can no longer be
+// run: its refusal then reaches the caller's instance after the deadline, so that it is
+// answered with 504 although it was not run.
+func TestRequestIsRefusedWhenItCanNoLongerStart(t *testing.T) {
+	for _, adaptive := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := NewScheduler()
+			s.SetSlots(1)
+			for range 100 {
+				s.sched.recordRunTime("r", 100*time.Millisecond)
+			}
+			ar := pollenlatch.AdmitRequest{Route: "r", Adaptive: adaptive, Deadline: time.Now().Add(600 * time.Millisecond)}
+			release, err := s.Admit(t.Context(), ar) // runs for longer than usual
+			require.NoError(t, err)
+			start := time.Now()
+			_, err = s.Admit(t.Context(), ar)
+			var f *pollenlatch.Failure
+			require.ErrorAs(t, err, &f)
+			require.Equal(t, pollenlatch.OutcomeNotRun, f.Outcome)
+			if adaptive {
+				require.Equal(t, 530*time.Millisecond, time.Since(start))
+				require.Equal(t, 503, f.Status)
+				require.Positive(t, f.RetryAfter)
+			} else {
+				require.Equal(t, 600*time.Millisecond, time.Since(start))
+			}
+			release()
+			running, waiting := s.Load()
+			require.Zero(t, running+waiting)
+		})
+	}
+}
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -253,13 +253,16 @@
 		return f
 	default:
 	}
-	t := time.NewTimer(time.Until(r.Deadline))
+	t := time.NewTimer(time.Until(r.latestStart()))
 	defer t.Stop()
 	var f *pollenlatch.Failure
 	select {
 	case f := <-decided:
 		return f
 	case <-t.C:
+		if r.Adaptive {
+			return s.giveUp(r, decided)
+		}
 		f = deadlineExceeded()
 	case <-ctx.Done():
 		f = contextFailure(ctx)
@@ -273,6 +276,20 @@
 	return f
 }
 
+// giveUp refuses a request that can no longer be started, unless that has been decided
+// meanwhile.
+func (s *Scheduler) giveUp(r *request, decided <-chan *pollenlatch.Failure) *pollenlatch.Failure {
+	s.mu.Lock()
+	now := time.Now()
+	start := s.sched.estimateStart(r, now)
+	if s.sched.cancelWait(r) {
+		defer s.mu.Unlock()
+		return s.sched.refusal(r, start.Sub(now), now, "the response would miss the deadline")
+	}
+	s.mu.Unlock()
+	return <-decided
+}
+
 func (s *Scheduler) finish(r *request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -139,7 +139,7 @@
 	if p := d.cfg.Platform; p != nil {
 		frontCfg.LocalService, frontCfg.IdleTimeout, frontCfg.Pacer, frontCfg.LookupNested = p.LocalService, callerIdleTimeout, pacer, d.serve.IsNested
 		frontCfg.ConfigCurrent = d.control.HasLease
-		frontCfg.Calls = d.serve
+		frontCfg.Calls, frontCfg.Adaptive = d.serve, d.isAdaptive
 	} else {
 		frontCfg.Recorder = &d.events
 	}
--- a/front/hints_test.go
+++ b/front/hints_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -138,3 +139,28 @@
 	a.mustNotWait = true
 	require.Equal(t, retryNow, a.decide())
 }
+
+// A request that reached no server is answered with 503, which promises that, and with the
+// time after which the caller may send it again; one that may have run is not.
+func TestRetryAfterOfRequestsThatWereNotRun(t *testing.T) {
+	s, _ := newRoutedServer(t)
+	adaptive := true
+	s.cfg.Adaptive = func() bool { return adaptive }
+	respond := func(f *pollenlatch.Failure) (int, string) {
+		w := httptest.NewRecorder()
+		rs := &responder{server: s, writer: w, request: &pollenlatch.Request{RequestHead: pollenlatch.RequestHead{Timeout: 1200 * time.Millisecond}}}
+		rs.writeFailure(f)
+		return w.Code, w.Header().Get("Retry-After")
+	}
+	expired := failure(pollenlatch.OutcomeNotRun, pollenlatch.ReasonDeadlineExceeded, http.StatusGatewayTimeout)
+	status, after := respond(expired)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "0.4", after)
+	require.Zero(t, expired.RetryAfter, "a failure that may be shared must not be changed")
+	status, after = respond(failure(pollenlatch.OutcomeUnknown, pollenlatch.ReasonDeadlineExceeded, http.StatusGatewayTimeout))
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Empty(t, after)
+	adaptive = false
+	_, after = respond(expired)
+	require.Empty(t, after)
+}
--- a/front/responder.go
+++ b/front/responder.go
@@ -70,6 +70,7 @@
 	status := f.Status
 	if rs.server.cfg.Headers != nil {
 		status = routedStatus(f)
+		f = rs.withRetryAfter(f, status)
 	}
 	rs.status, rs.detail, rs.retryAfter = status, f.Detail, f.RetryAfter
 	b, err := json.Marshal(failureBody{Outcome: f.Outcome.String(), Failure: f, RetryAfterSeconds: ceilSeconds(f.RetryAfter)})
@@ -107,6 +108,22 @@
 	}
 }
 
+// withRetryAfter returns a failure with a Retry-After if it has status 503 and the parts for
+// overload apply: the request was not run, and the caller needs to know when to send it
+// again. Without a better estimate
+// that is after defaultRetryAfter, or a third of the time that the caller had.
+func (rs *responder) withRetryAfter(f *pollenlatch.Failure, status int) *pollenlatch.Failure {
+	if status != http.StatusServiceUnavailable || f.RetryAfter > 0 || rs.server.cfg.Adaptive == nil || !rs.server.cfg.Adaptive() {
+		return f
+	}
+	g := *f
+	g.RetryAfter = defaultRetryAfter
+	if rs.request != nil && rs.request.Timeout > 0 {
+		g.RetryAfter = min(g.RetryAfter, max(time.Millisecond, rs.request.Timeout/3))
+	}
+	return &g
+}
+
 // statusClientClosedRequest is recorded when the caller disconnected before the
 // response.
 const statusClientClosedRequest = 499
--- a/front/server.go
+++ b/front/server.go
@@ -55,6 +55,8 @@
 	ConfigCurrent func() bool
 	// Calls observes the nested requests; nil does not.
 	Calls CallObserver
+	// Adaptive reports whether the parts for overload apply; nil: they do not.
+	Adaptive func() bool
 	// Pacer paces large responses to callers on this instance's network link;
 	// nil does not.
 	Pacer pollenlatch.Pacer
--- a/link/forward.go
+++ b/link/forward.go
@@ -166,10 +166,11 @@
 	p := chunkBuffers.Get().(*[]byte)
 	defer chunkBuffers.Put(p)
 	out := appendNumbered((*p)[:0], kindHead, x.stream.number, b)
+	dispatchBytes := len(out) // that the other side reads before it dispatches the request
 	if x.credit != nil {
 		x.session.node.bodiesOffered.Inc()
 		if n, err := x.stream.Write(out); err != nil {
-			return x.headWriteFailure(n, err)
+			return x.headWriteFailure(n < dispatchBytes, err)
 		}
 		return nil
 	}
@@ -179,9 +180,13 @@
 	}
 	if complete {
 		out = appendFrame(out, kindEnd, nil)
+		dispatchBytes = len(out)
+	}
+	if x.session.mux.IsClosed() {
+		return unreachable("daemon %s: session has ended", x.session.addr)
 	}
 	if n, err := x.stream.Write(out); err != nil {
-		return x.headWriteFailure(n, err)
+		return x.headWriteFailure(n < dispatchBytes, err)
 	}
 	if complete {
 		x.requestWritten.Store(true)
@@ -211,10 +216,11 @@
 }
 
 // headWriteFailure converts an error of writing the head. yamux returns the errors
-// named here before it queues the first byte; after any other error a byte may have
-// been sent.
-func (x *exchange) headWriteFailure(n int, err error) *pollenlatch.Failure {
-	unsent := x.unrequested() || n == 0 && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrTimeout))
+// named here before it queues any of the remaining bytes; after any other error they may
+// have been sent. incomplete says that the other side needs some of them to dispatch the
+// request.
+func (x *exchange) headWriteFailure(incomplete bool, err error) *pollenlatch.Failure {
+	unsent := x.unrequested() || incomplete && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrTimeout))
 	if e := x.abortCause(); e != nil {
 		return contextEnded(e, !unsent)
 	}
--- a/link/forward_test.go
+++ b/link/forward_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 
 	"pollenlatch"
@@ -406,3 +407,27 @@
 		})
 	}
 }
+
+// A request of which the other side lacks a part that it needs to dispatch it was not run;
+// any other that may have left this process may have been.
+func TestHeadWriteFailure(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		incomplete bool
+		err        error
+		want       pollenlatch.Outcome
+	}{
+		{"the window was full before the end of the head", true, yamux.ErrTimeout, pollenlatch.OutcomeNotRun},
+		{"the stream was closed before the end of the head", true, yamux.ErrStreamClosed, pollenlatch.OutcomeNotRun},
+		{"the rest was queued", true, yamux.ErrConnectionWriteTimeout, pollenlatch.OutcomeUnknown},
+		{"the session ended", true, yamux.ErrSessionShutdown, pollenlatch.OutcomeUnknown},
+		{"the head was sent", false, yamux.ErrTimeout, pollenlatch.OutcomeUnknown},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			x := &exchange{session: &outboundSession{addr: "b"}, ctx: t.Context()}
+			require.Equal(t, tt.want, x.headWriteFailure(tt.incomplete, tt.err).Outcome)
+			x.expired.Store(true)
+			require.Equal(t, tt.want, x.headWriteFailure(tt.incomplete, tt.err).Outcome, "at the deadline")
+		})
+	}
+}
