--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -183,6 +183,14 @@
 // isAdaptive reports whether the parts for overload apply.
 func (d *Daemon) isAdaptive() bool { return d.adaptive.Applies(d.control.View()) }
 
+// linkAdaptive returns isAdaptive for the request links; nil for a daemon without Platform.
+func (d *Daemon) linkAdaptive() func() bool {
+	if d.cfg.Platform == nil {
+		return nil
+	}
+	return d.isAdaptive
+}
+
 // localHint returns what other daemons need to know of the load of the local server.
 func (d *Daemon) localHint() *pollenlatch.ServerHint {
 	scheduler, ok := d.admitter.(*admit.Scheduler)
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -95,11 +95,16 @@
 		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.incarnation, Key: d.cfg.Key,
 		ControlHandler: d.receive, RequestHandler: forwardedHandler, MaxRequestSessions: d.cfg.MaxSessions, Dial: d.cfg.Dial,
 		Pacer: pacer, RecordReceived: incoming.RecordOther, Metrics: d.metrics,
+		Adaptive: d.linkAdaptive(),
 	})
 	if err != nil {
 		return err
 	}
 	d.node = node
+	if d.cfg.Platform != nil {
+		d.metrics.GetOrCreateGauge("pollenlatch_link_revocations", func() float64 { answered, _ := node.Revocations(); return float64(answered) })
+		d.metrics.GetOrCreateGauge("pollenlatch_link_revoked_not_run", func() float64 { _, notRun := node.Revocations(); return float64(notRun) })
+	}
 	d.loop = &ctrl.Loop{
 		Reducer:         ctrl.New(d.reducerConfig()),
 		Control:         &d.control,
--- a/link/config.go
+++ b/link/config.go
@@ -57,6 +57,10 @@
 	RecordReceived func(n int)
 	Metrics        *metrics.Set // nil: metrics are not exported
 
+	// Adaptive reports whether the parts for overload apply: requests can be revoked. nil:
+	// they do not.
+	Adaptive func() bool
+
 	// Dial opens a connection; nil dials TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
--- a/link/forward.go
+++ b/link/forward.go
@@ -62,6 +62,10 @@
 	}
 	x.deadlineTimer = time.AfterFunc(remaining+deadlineMargin, x.expire)
 	x.stopWatch = context.AfterFunc(ctx, x.abort)
+	x.deadline, x.sentAt = r.Deadline, time.Now()
+	if x.receipt = n.receiptNumber(); x.receipt != 0 {
+		x.startRevoking(remaining)
+	}
 	close(x.timersSet)
 	if f := x.sendRequest(r); f != nil {
 		x.abort()
@@ -78,7 +82,12 @@
 	ctx           context.Context
 	stopWatch     func() bool   // stops watching ctx
 	deadlineTimer *time.Timer   // runs until the head of the response has arrived
-	timersSet     chan struct{} // closed when both are set; either may abort the exchange earlier
+	timersSet     chan struct{} // closed when all are set; either may abort the exchange earlier
+	receipt       uint64        // 0: the request can't be revoked
+	sentAt        time.Time
+	deadline      time.Time
+	revokeTimer   *time.Timer // nil without a receipt
+	revoked       atomic.Bool // it is certain that the request has not run and never will
 
 	expired        atomic.Bool
 	ended          atomic.Bool // finished or aborted
@@ -121,12 +130,20 @@
 func (x *exchange) closeStream() {
 	<-x.timersSet
 	x.stopWatch()
-	x.deadlineTimer.Stop()
+	x.stopTimers()
 	x.session.sendCancel(x.stream.StreamID())
 	_ = x.stream.Close()
 	x.session.node.releaseSession(x.session, nil)
 }
 
+// stopTimers stops the timers of the wait for the response.
+func (x *exchange) stopTimers() {
+	x.deadlineTimer.Stop()
+	if x.revokeTimer != nil {
+		x.revokeTimer.Stop()
+	}
+}
+
 // finish ends the exchange after its last frame. reusable says that the accepting
 // side reads the next head from the stream. bytes is the size of the response body.
 func (x *exchange) finish(reusable bool, bytes int64) {
@@ -150,7 +167,7 @@
 // Other bodies are written by a goroutine.
 func (x *exchange) sendRequest(r *pollenlatch.Request) *pollenlatch.Failure {
 	h := r.RequestHead
-	h.Timeout = time.Until(r.Deadline)
+	h.Timeout, h.Receipt = time.Until(r.Deadline), x.receipt
 	if !r.SoftDeadline.IsZero() {
 		h.LatencyLeft = time.Until(r.SoftDeadline)
 	}
@@ -304,9 +321,14 @@
 		}
 	}
 	if err != nil {
-		return nil, x.fail(err)
+		lost := x.abortCause() == nil && !x.revoked.Load()
+		f := x.fail(err)
+		if f.Outcome == pollenlatch.OutcomeUnknown && (x.revoked.Load() || (lost && x.revokeAfterLoss())) {
+			return nil, x.notRun(lost)
+		}
+		return nil, f
 	}
-	x.deadlineTimer.Stop()
+	x.stopTimers()
 	x.session.node.recordReceived(len(b))
 	switch k {
 	case kindFailure:
@@ -331,6 +353,15 @@
 	}
 }
 
+// notRun returns the failure of a request that was revoked: near its deadline, or after
+// its connection was lost.
+func (x *exchange) notRun(lost bool) *pollenlatch.Failure {
+	if !lost {
+		return revoked()
+	}
+	return unreachable("daemon %s: connection was lost before the request was sent to a server", x.session.addr)
+}
+
 // fail aborts the exchange after the head was sent, and converts the error.
 func (x *exchange) fail(err error) *pollenlatch.Failure {
 	ctxErr := x.abortCause()
--- a/link/node.go
+++ b/link/node.go
@@ -50,8 +50,12 @@
 
 	lastShared atomic.Pointer[sharedFrame] // frame of the last preencoded message
 
-	outbound       outboundPool  // dialled request sessions
-	maxIdleStreams int           // of one outbound session
+	outbound       outboundPool // dialled request sessions
+	maxIdleStreams int          // of one outbound session
+	receipts       *receipts
+	revocations    atomic.Uint64 // answered ones
+	revokedNotRun  atomic.Uint64 // revocations of requests that had not run
+	revokeLog      *logs.Limiter // for log lines on revoked requests
 	dialFailureLog *logs.Limiter // for log lines on request sessions that could not be opened
 
 	bodiesOffered   *metrics.Counter // heads that were sent without their large bodies
@@ -78,6 +82,8 @@
 		inbound:        make(map[*inboundSession]struct{}),
 		outbound:       outboundPool{sessions: make(map[string]*outboundSession)},
 		maxIdleStreams: defaultMaxIdleStreams,
+		receipts:       newReceipts(time.Now()),
+		revokeLog:      logs.NewLimiter(dialFailureLogRate, dialFailureLogRate),
 		dialFailureLog: logs.NewLimiter(dialFailureLogRate, dialFailureLogRate),
 	}
 	n.bodiesOffered = n.cfg.Metrics.GetOrCreateCounter("pollenlatch_link_bodies_offered_total")
--- a/link/serve.go
+++ b/link/serve.go
@@ -61,6 +61,12 @@
 		if err != nil {
 			return
 		}
+		if k == kindRevoke {
+			if st.answerRevocation(b) != nil {
+				return
+			}
+			continue
+		}
 		in := &inboundRequest{}
 		in.number, b, err = splitNumber(b)
 		if err != nil || k != kindHead || pollenlatch.Decode(b, &in.request.RequestHead) != nil {
@@ -234,7 +240,16 @@
 func (st *inboundStream) handleRequest(in *inboundRequest) bool {
 	ctx, cancel := context.WithCancel(st.ctx)
 	defer cancel()
-	resp, err := logs.HandleRecovered(ctx, st.session.node.cfg.RequestHandler, &in.request)
+	handle := func(ctx context.Context) (*pollenlatch.Response, error) {
+		return logs.HandleRecovered(ctx, st.session.node.cfg.RequestHandler, &in.request)
+	}
+	var resp *pollenlatch.Response
+	var err error
+	if in.request.Receipt != 0 {
+		resp, err = st.handleReceipted(ctx, in, handle)
+	} else {
+		resp, err = handle(ctx)
+	}
 	in.onRequest.close()
 	if in.pipe != nil && (err != nil || in.onRequest != nil) {
 		_ = in.pipe.CloseWithError(errHandlerReturned)
--- a/serve/calls_test.go
+++ b/serve/calls_test.go
@@ -139,3 +139,20 @@
 	resp, _ = call()
 	require.Nil(t, resp.Hint)
 }
+
+// A request that its sender was told has not run must not run afterwards.
+func TestRevokedRequestIsNotSent(t *testing.T) {
+	h := newHarness()
+	var r pollenlatch.Revocable
+	h.exchanger.beforeCheck = func() { require.True(t, r.Revoke()) }
+	req := newRequest()
+	_, err := h.server.Handle(pollenlatch.WithRevocable(t.Context(), &r), req)
+	require.Equal(t, pollenlatch.OutcomeNotRun, asFailure(err).Outcome)
+	require.Zero(t, h.exchanger.runs)
+	h.exchanger.beforeCheck = nil
+	var begun pollenlatch.Revocable
+	resp, err := h.server.Handle(pollenlatch.WithRevocable(t.Context(), &begun), newRequest())
+	require.NoError(t, err)
+	require.False(t, begun.Revoke())
+	require.NoError(t, resp.Body.Close())
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -271,7 +271,13 @@
 		if s.evacuated(r) {
 			return Evacuated()
 		}
-		return permit.Check()
+		if err := permit.Check(); err != nil {
+			return err
+		}
+		if !pollenlatch.BeginRun(ctx) {
+			return refuse(pollenlatch.ReasonDeadlineExceeded, http.StatusServiceUnavailable, "the request was revoked")
+		}
+		return nil
 	}
 	tracked := false // released with the response body
 	notRun := false  // the server did not run it
