--- a/admit/adaptive.go
+++ b/admit/adaptive.go
@@ -153,7 +153,11 @@
 	if s.slots > 0 && (h.FreeSlots == 0 || (len(s.waiting) > 0 && !s.waitsForLinkOnly())) {
 		wait = s.load.outlook.End(0, s.completionInterval(now)+ahead/time.Duration(s.slots))
 	}
-	h.WaitMillis = uint32(max(wait, s.limitWait(len(s.waiting)+1, now)).Milliseconds())
+	limited := s.limitWait(len(s.waiting)+1, now)
+	if limited > 0 {
+		h.FreeSlots = 0 // a limit of the server keeps them free
+	}
+	h.WaitMillis = uint32(max(wait, limited).Milliseconds())
 	return h
 }
 
--- a/admit/adaptive_test.go
+++ b/admit/adaptive_test.go
@@ -137,6 +137,15 @@
 	require.Equal(t, pollenlatch.ClassNormal, h.sched.hint(h.now).RefusedClass)
 	h.now = h.now.Add(refusalMemory + time.Millisecond)
 	require.Zero(t, h.sched.hint(h.now).RefusedClass)
+
+	limited := newHarness(t, 2)
+	limited.sched.limiter.SetLimit(1, limited.now)
+	for limited.sched.limiter.Wait(1, limited.now) == 0 {
+		limited.sched.limiter.Take(limited.now)
+	}
+	got = limited.sched.hint(limited.now)
+	require.Zero(t, got.FreeSlots, "slots that the limit of the server keeps free")
+	require.Positive(t, got.WaitMillis)
 }
 
 func BenchmarkHint(b *testing.B) {
--- a/pick/hint.go
+++ b/pick/hint.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		e := p.endpointOf(c, now)
-		if e.ejectedUntil > now || e.coldUntil > now {
+		if e.ejectedUntil > now || e.coldUntil > now || e.coldRate > 0 {
 			continue
 		}
 		compared++
