--- a/pick/hint.go
+++ b/pick/hint.go
@@ -95,7 +95,7 @@
 	hinted := false
 	start := p.rand.IntN(max(1, len(candidates)))
 	for n, compared := 0, 0; n < len(candidates) && compared < maxCompared; n++ {
-		c := candidates[(start+n)%len(candidates)]
+		c := &candidates[(start+n)%len(candidates)]
 		if tried.Has(c.ID) {
 			continue
 		}
@@ -124,6 +124,7 @@
 	if e == nil {
 		return pollenlatch.Instance{}, nil, false
 	}
+	e.instance = *e.candidate
 	if e.inflight == 0 {
 		e.lastProgress = now
 	}
--- a/pick/picker.go
+++ b/pick/picker.go
@@ -94,9 +94,10 @@
 	mu         sync.Mutex
 	rand       *rand.Rand
 	endpoints  map[pollenlatch.InstanceID]*endpoint
+	index      []*endpoint // of endpoints, by instance
 	lastSweep  pollenlatch.MonoTime
-	sameDC     []*endpoint // scratch space of Pick
-	otherDC    []*endpoint
+	sameDC     candidateSet // scratch space of Pick
+	otherDC    candidateSet
 	newAreCold bool // endpoints that appear are cold; false until the first Pick
 }
 
@@ -131,8 +132,9 @@
 
 // endpoint holds the statistics of one endpoint.
 type endpoint struct {
-	instance      pollenlatch.Instance
-	lastCandidate pollenlatch.MonoTime // when it was last a candidate
+	instance      pollenlatch.Instance  // as it was when it was picked last; its Endpoint is the newest
+	candidate     *pollenlatch.Instance // in the present Pick
+	lastCandidate pollenlatch.MonoTime  // when it was last a candidate
 
 	inflight        int
 	latency         float64              // moving average in seconds; 0 before the first response
@@ -146,6 +148,7 @@
 	ejections       int     // ejections in a row
 	coldRate        float64 // requests a second that the server gets while it is cold; 0 when it is not
 	hint            hint
+	share           float64 // of its full traffic, in the present Pick
 }
 
 // Pick implements pollenlatch.Picker.
@@ -162,28 +165,30 @@
 // with the better of two in the others. An ejected endpoint is picked only when
 // there is no other.
 func (p *Picker) choose(candidates []pollenlatch.Instance, dc string, tried pollenlatch.Set[pollenlatch.InstanceID], now pollenlatch.MonoTime) *endpoint {
-	p.sameDC, p.otherDC = p.sameDC[:0], p.otherDC[:0]
+	p.sameDC.reset()
+	p.otherDC.reset()
 	self := p.freeLocalInstance()
 	var earliestReturn, local *endpoint
-	for _, c := range candidates {
+	for n := range candidates {
+		c := &candidates[n]
 		e := p.endpointOf(c, now)
 		if c.ID == self && e.ejectedUntil <= now && e.coldUntil <= now && e.coldRate == 0 && !tried.Has(c.ID) {
 			local = e
 		}
 		switch {
-		case tried.Has(c.ID):
+		case len(tried) > 0 && tried.Has(c.ID):
 		case e.ejectedUntil > now:
 			if earliestReturn == nil || e.ejectedUntil < earliestReturn.ejectedUntil {
 				earliestReturn = e
 			}
 		case c.DC == dc:
-			p.sameDC = append(p.sameDC, e)
+			p.sameDC.add(e, p.trafficShare(e, now))
 		default:
-			p.otherDC = append(p.otherDC, e)
+			p.otherDC.add(e, p.trafficShare(e, now))
 		}
 	}
 	p.newAreCold = true
-	near, far := p.bestOfTwo(p.sameDC, now), p.bestOfTwo(p.otherDC, now)
+	near, far := p.bestOfTwo(&p.sameDC, now), p.bestOfTwo(&p.otherDC, now)
 	best := near
 	switch {
 	case near == nil && far == nil:
@@ -254,23 +259,53 @@
 
 // endpointOf returns the statistics of a candidate. Another incarnation of its
 // server is cold and starts without statistics.
-func (p *Picker) endpointOf(c pollenlatch.Instance, now pollenlatch.MonoTime) *endpoint {
-	e := p.endpoints[c.ID]
-	if e == nil || incarnation(e.instance) != incarnation(c) {
-		e = &endpoint{coldUntil: now}
+func (p *Picker) endpointOf(c *pollenlatch.Instance, now pollenlatch.MonoTime) *endpoint {
+	e := p.find(c.ID)
+	if e == nil || (e.instance.Endpoint != c.Endpoint && incarnation(&e.instance) != incarnation(c)) {
+		e = &endpoint{instance: *c, coldUntil: now}
 		if p.newAreCold {
 			e.coldUntil = now.Add(p.cfg.WarmUp)
 		}
-		p.endpoints[c.ID] = e
+		p.add(c.ID, e)
 	}
-	e.instance, e.lastCandidate, e.coldRate = c, now, 0
+	e.instance.Endpoint, e.candidate, e.lastCandidate, e.coldRate = c.Endpoint, c, now, 0
 	if c.Endpoint != nil && c.Endpoint.Cold && p.cfg.ColdRate != nil {
 		e.coldRate = p.cfg.ColdRate(c.Endpoint.Service)
 	}
 	return e
 }
 
-func incarnation(i pollenlatch.Instance) pollenlatch.Incarnation {
+// maxIndexed limits the IDs of the endpoints that are also found by an index.
+const maxIndexed = 1 << 12
+
+// find returns the statistics of an endpoint, or nil. The index saves a look-up in the map
+// for each of the candidates.
+func (p *Picker) find(id pollenlatch.InstanceID) *endpoint {
+	if int(id) < len(p.index) {
+		return p.index[id]
+	}
+	return p.endpoints[id]
+}
+
+func (p *Picker) add(id pollenlatch.InstanceID, e *endpoint) {
+	p.endpoints[id] = e
+	if id >= maxIndexed {
+		return
+	}
+	if n := int(id) + 1; n > len(p.index) {
+		p.index = append(p.index, make([]*endpoint, n-len(p.index))...)
+	}
+	p.index[id] = e
+}
+
+func (p *Picker) remove(id pollenlatch.InstanceID) {
+	delete(p.endpoints, id)
+	if int(id) < len(p.index) {
+		p.index[id] = nil
+	}
+}
+
+func incarnation(i *pollenlatch.Instance) pollenlatch.Incarnation {
 	if i.Endpoint == nil {
 		return 0
 	}
@@ -278,9 +313,9 @@
 }
 
 // bestOfTwo returns the cheaper of two random endpoints.
-func (p *Picker) bestOfTwo(from []*endpoint, now pollenlatch.MonoTime) *endpoint {
-	a := p.randomEndpoint(from, nil, now)
-	b := p.randomEndpoint(from, a, now)
+func (p *Picker) bestOfTwo(from *candidateSet, now pollenlatch.MonoTime) *endpoint {
+	a := p.randomEndpoint(from, nil)
+	b := p.randomEndpoint(from, a)
 	if b == nil || p.cost(a, now) <= p.cost(b, now) {
 		return a
 	}
@@ -289,27 +324,52 @@
 
 // randomEndpoint returns a random endpoint other than except. Cold endpoints
 // are less likely.
-func (p *Picker) randomEndpoint(from []*endpoint, except *endpoint, now pollenlatch.MonoTime) *endpoint {
-	var total float64
-	for _, e := range from {
-		if e != except {
-			total += p.trafficShare(e, now)
+func (p *Picker) randomEndpoint(from *candidateSet, except *endpoint) *endpoint {
+	n, total := len(from.endpoints), from.total
+	if except != nil {
+		n--
+		total -= except.share
+	}
+	if n <= 0 {
+		return nil
+	}
+	if from.uniform {
+		e := from.endpoints[p.rand.IntN(n)]
+		if e == except {
+			return from.endpoints[n] // the last one, which was left out
 		}
+		return e
 	}
 	at := p.rand.Float64() * total
 	var last *endpoint
-	for _, e := range from {
+	for _, e := range from.endpoints {
 		if e == except {
 			continue
 		}
 		last = e
-		if at -= p.trafficShare(e, now); at < 0 {
+		if at -= e.share; at < 0 {
 			return e
 		}
 	}
 	return last
 }
 
+// candidateSet holds the endpoints of which one is picked at random.
+type candidateSet struct {
+	endpoints []*endpoint
+	total     float64 // of their shares
+	uniform   bool    // all shares are 1
+}
+
+func (s *candidateSet) reset() { s.endpoints, s.total, s.uniform = s.endpoints[:0], 0, true }
+
+func (s *candidateSet) add(e *endpoint, share float64) {
+	e.share = share
+	s.endpoints = append(s.endpoints, e)
+	s.total += share
+	s.uniform = s.uniform && share == 1
+}
+
 // trafficShare returns the share of its full traffic that an endpoint gets,
 // from coldShare to 1. A server that is cold gets the share that its ColdRate is of the
 // requests that it can run when it is warm.
@@ -429,7 +489,7 @@
 	p.lastSweep = now
 	for id, e := range p.endpoints {
 		if now.Sub(e.lastCandidate) > endpointExpiry && e.inflight == 0 {
-			delete(p.endpoints, id)
+			p.remove(id)
 		}
 	}
 }
--- a/pick/picker_test.go
+++ b/pick/picker_test.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -236,12 +237,16 @@
 }
 
 func BenchmarkPick(b *testing.B) {
-	p := New(Config{Seed: 1})
-	all := candidates(8)
-	b.ReportAllocs()
-	for b.Loop() {
-		_, done, _ := p.Pick(all, "a", nil)
-		done(pollenlatch.OutcomeRan, "", time.Millisecond)
+	for _, n := range []int{8, 200} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			p := New(Config{Seed: 1})
+			all := candidates(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, done, _ := p.Pick(all, "a", nil)
+				done(pollenlatch.OutcomeRan, "", time.Millisecond)
+			}
+		})
 	}
 }
 
