--- a/admit/adaptive.go
+++ b/admit/adaptive.go
@@ -103,7 +103,7 @@
 	if !r.Adaptive {
 		return r.Deadline
 	}
-	return r.Deadline.Add(-max(refusalTime, time.Duration(minRunShare*float64(r.runTime))))
+	return r.Deadline.Add(-max(refusalTime, r.bodyTime+time.Duration(minRunShare*float64(r.runTime))))
 }
 
 // freeSlots returns how many slots are free for a request.
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -250,7 +250,9 @@
 	if s.limit() == 0 || len(s.waiting) == 0 || s.freeForWaiting() <= 0 {
 		return 0, false
 	}
-	return s.limitWait(1, now), true
+	// Without a delay, the waiting requests wait for something else, such as the link.
+	d = s.limitWait(1, now)
+	return d, d > 0
 }
 
 // estimateDelivery returns when the response to a request that begins to run at
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -235,9 +235,10 @@
 	s.applyLoad(now)
 	f := s.sched.arrive(r, now)
 	s.setWake(now)
+	until := r.latestStart()
 	s.mu.Unlock()
 	if f == nil {
-		f = s.wait(ctx, r, decided)
+		f = s.wait(ctx, r, until, decided)
 	}
 	if f != nil {
 		return nil, f
@@ -245,28 +246,55 @@
 	return sync.OnceFunc(func() { s.finish(r) }), nil
 }
 
-// wait blocks until the request is admitted or refused, its deadline passes or ctx
-// is done.
-func (s *Scheduler) wait(ctx context.Context, r *request, decided <-chan *pollenlatch.Failure) *pollenlatch.Failure {
+// wait blocks until the request is admitted or refused, it can no longer be started, or
+// ctx is done. until is its latest start.
+func (s *Scheduler) wait(ctx context.Context, r *request, until time.Time, decided <-chan *pollenlatch.Failure) *pollenlatch.Failure {
 	select {
 	case f := <-decided:
 		return f
 	default:
 	}
-	t := time.NewTimer(time.Until(r.latestStart()))
+	t := time.NewTimer(time.Until(until))
 	defer t.Stop()
-	var f *pollenlatch.Failure
-	select {
-	case f := <-decided:
-		return f
-	case <-t.C:
-		if r.Adaptive {
-			return s.giveUp(r, decided)
+	for {
+		select {
+		case f := <-decided:
+			return f
+		case <-t.C:
+			if !r.Adaptive {
+				return s.cancelWait(r, deadlineExceeded(), decided)
+			}
+			f, left := s.expire(r, time.Now())
+			if f != nil {
+				return f
+			}
+			t.Reset(left)
+		case <-ctx.Done():
+			return s.cancelWait(r, contextFailure(ctx), decided)
 		}
-		f = deadlineExceeded()
-	case <-ctx.Done():
-		f = contextFailure(ctx)
 	}
+}
+
+// expire refuses a request that can no longer be started. Otherwise it returns the time
+// until then, because the server may have become faster since the request arrived.
+func (s *Scheduler) expire(r *request, now time.Time) (f *pollenlatch.Failure, left time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyLoad(now)
+	s.sched.updateLoad(now)
+	if left := r.latestStart().Sub(now); left > 0 {
+		return nil, left
+	}
+	start := s.sched.estimateStart(r, now)
+	if !s.sched.cancelWait(r) {
+		return nil, refusalTime // it has been decided meanwhile
+	}
+	return s.sched.refusal(r, max(0, start.Sub(now)), now, "the response would miss the deadline"), 0
+}
+
+// cancelWait ends the wait of a request with f. If it has got a slot in the meantime, the
+// slot is released.
+func (s *Scheduler) cancelWait(r *request, f *pollenlatch.Failure, decided <-chan *pollenlatch.Failure) *pollenlatch.Failure {
 	s.mu.Lock()
 	waiting := s.sched.cancelWait(r)
 	s.mu.Unlock()
@@ -276,20 +304,6 @@
 	return f
 }
 
-// giveUp refuses a request that can no longer be started, unless that has been decided
-// meanwhile.
-func (s *Scheduler) giveUp(r *request, decided <-chan *pollenlatch.Failure) *pollenlatch.Failure {
-	s.mu.Lock()
-	now := time.Now()
-	start := s.sched.estimateStart(r, now)
-	if s.sched.cancelWait(r) {
-		defer s.mu.Unlock()
-		return s.sched.refusal(r, start.Sub(now), now, "the response would miss the deadline")
-	}
-	s.mu.Unlock()
-	return <-decided
-}
-
 func (s *Scheduler) finish(r *request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
