--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"pollenlatch/front"
 	"pollenlatch/gauge"
 	"pollenlatch/halt"
+	"pollenlatch/hints"
 	"pollenlatch/link"
 	"pollenlatch/local"
 	"pollenlatch/quota"
@@ -112,6 +113,9 @@
 	limit           quota.Monitor // of the local server
 	crashes         crash.Monitor
 	gauge           gauge.Gauge // load of the local server
+	adaptive        hints.Condition
+	serverHints     hints.Table   // of the daemons beside other servers
+	slowness        atomic.Uint32 // that the local server has reported last, in percent; 0 is none
 	recordTransfers pendingCalls[bool]
 	imported        importedRecords
 	eventRequests   pendingCalls[*pollenlatch.EventsReply]
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -81,6 +81,10 @@
 // observeServer applies what a response says about the local server. The limit is in
 // force at once here; the tracker announces it.
 func (d *Daemon) observeServer(s pollenlatch.ServerSignals) {
+	if s.Load != nil {
+		d.adaptive.RecordLoad(s.Load)
+		d.slowness.Store(s.Load.Slowness)
+	}
 	d.mu.Lock()
 	if s.Incarnation != d.endpoint.Incarnation {
 		d.mu.Unlock()
@@ -185,6 +189,35 @@
 	return d.control.Self(), slots - running - waiting
 }
 
+// isAdaptive reports whether the parts for overload apply.
+func (d *Daemon) isAdaptive() bool { return d.adaptive.Applies(d.control.View()) }
+
+// linkAdaptive returns isAdaptive for the request links; nil for a daemon without Platform.
+func (d *Daemon) linkAdaptive() func() bool {
+	if d.cfg.Platform == nil {
+		return nil
+	}
+	return d.isAdaptive
+}
+
+// localHint returns what other daemons need to know of the load of the local server.
+func (d *Daemon) localHint() *pollenlatch.ServerHint {
+	scheduler, ok := d.admitter.(*admit.Scheduler)
+	if !ok {
+		return nil
+	}
+	h := scheduler.Hint()
+	e, _ := d.localServer()
+	h.Slowness, h.Cold = d.slowness.Load(), e.Cold
+	return h
+}
+
+// expectedWait returns how long a request is likely to wait at the best server of a
+// service, or false when that is not known.
+func (d *Daemon) expectedWait(service string) (time.Duration, bool) {
+	return d.serverHints.Wait(d.control.View().Endpoints(service), time.Now())
+}
+
 func (d *Daemon) queueLimit(service string) int {
 	s, _ := d.control.View().Service(service)
 	return int(s.QueueLimit)
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -90,6 +90,8 @@
 	}
 	if d.cfg.Platform != nil {
 		serveCfg.ReadAheadBytes, serveCfg.Intake = readAheadBytes, incoming
+		serveCfg.Adaptive = d.isAdaptive
+		serveCfg.Hint, serveCfg.ExpectedWait = d.localHint, d.expectedWait
 	}
 	d.serve = serve.New(serveCfg)
 	var forwardedHandler, localHandler pollenlatch.Handler = nil, d.serve
@@ -103,11 +105,16 @@
 		Group: d.cfg.Group, Name: d.cfg.Name, Incarnation: d.incarnation, Key: d.cfg.Key,
 		ControlHandler: d.receive, RequestHandler: forwardedHandler, MaxRequestSessions: d.cfg.MaxSessions, Dial: d.cfg.Dial,
 		Pacer: pacer, RecordReceived: incoming.RecordOther, Metrics: d.metrics,
+		Adaptive: d.linkAdaptive(),
 	})
 	if err != nil {
 		return err
 	}
 	d.node = node
+	if d.cfg.Platform != nil {
+		d.metrics.GetOrCreateGauge("pollenlatch_link_revocations", func() float64 { answered, _ := node.Revocations(); return float64(answered) })
+		d.metrics.GetOrCreateGauge("pollenlatch_link_revoked_not_run", func() float64 { _, notRun := node.Revocations(); return float64(notRun) })
+	}
 	d.loop = &ctrl.Loop{
 		Reducer:         ctrl.New(d.reducerConfig()),
 		Control:         &d.control,
@@ -139,6 +146,7 @@
 			_, free := d.localFreeSlots()
 			return free > 0
 		}
+		routerCfg.Hints, routerCfg.Adaptive = &d.serverHints, d.isAdaptive
 		routerCfg.ServiceBudgets = &pick.ServiceBudgets{Ratio: p.RetryBudget.Ratio, Burst: p.RetryBudget.Burst}
 	}
 	router := front.NewRouter(routerCfg)
@@ -146,6 +154,7 @@
 	if p := d.cfg.Platform; p != nil {
 		frontCfg.LocalService, frontCfg.IdleTimeout, frontCfg.Pacer, frontCfg.LookupNested = p.LocalService, callerIdleTimeout, pacer, d.serve.IsNested
 		frontCfg.ConfigCurrent = d.control.HasLease
+		frontCfg.Calls, frontCfg.Adaptive = d.serve, d.isAdaptive
 	} else {
 		frontCfg.Recorder = &d.events
 	}
--- a/front/responder.go
+++ b/front/responder.go
@@ -70,6 +70,7 @@
 	status := f.Status
 	if rs.server.cfg.Headers != nil {
 		status = routedStatus(f)
+		f = rs.withRetryAfter(f, status)
 	}
 	rs.status, rs.detail, rs.retryAfter = status, f.Detail, f.RetryAfter
 	b, err := json.Marshal(failureBody{Outcome: f.Outcome.String(), Failure: f, RetryAfterSeconds: ceilSeconds(f.RetryAfter)})
@@ -107,6 +108,22 @@
 	}
 }
 
+// withRetryAfter returns a failure with a Retry-After if it has status 503 and the parts for
+// overload apply: the request was not run, and the caller needs to know when to send it
+// again. Without a better estimate
+// that is after defaultRetryAfter, or a third of the time that the caller had.
+func (rs *responder) withRetryAfter(f *pollenlatch.Failure, status int) *pollenlatch.Failure {
+	if status != http.StatusServiceUnavailable || f.RetryAfter > 0 || rs.server.cfg.Adaptive == nil || !rs.server.cfg.Adaptive() {
+		return f
+	}
+	g := *f
+	g.RetryAfter = defaultRetryAfter
+	if rs.request != nil && rs.request.Timeout > 0 {
+		g.RetryAfter = min(g.RetryAfter, max(time.Millisecond, rs.request.Timeout/3))
+	}
+	return &g
+}
+
 // statusClientClosedRequest is recorded when the caller disconnected before the
 // response.
 const statusClientClosedRequest = 499
@@ -265,6 +282,7 @@
 	if rs.outcome == 0 { // the handler panicked
 		rs.outcome, rs.reason = pollenlatch.OutcomeUnknown, pollenlatch.ReasonConnectionLost
 	}
+	rs.endCall()
 	took := time.Since(rs.start)
 	name, class := "", pollenlatch.ClassRoutine
 	if req := rs.request; req != nil {
@@ -279,6 +297,21 @@
 	}
 }
 
+// endCall reports the end of a nested request.
+func (rs *responder) endCall() {
+	if rs.request == nil || rs.request.ParentRoute == "" || rs.server.cfg.Calls == nil {
+		return
+	}
+	status := rs.status
+	switch {
+	case rs.reason == pollenlatch.ReasonCancelled:
+		status = 0
+	case rs.outcome == pollenlatch.OutcomeUnknown: // the response was cut
+		status = http.StatusBadGateway
+	}
+	rs.server.cfg.Calls.CallEnded(rs.request, status)
+}
+
 // errorLogWriter passes net/http's own log lines on at a higher verbosity. They
 // report lost connections, which are normal.
 type errorLogWriter struct{}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pollenlatch"
+	"pollenlatch/calls"
 	"pollenlatch/crash"
 	"pollenlatch/dedup"
 	"pollenlatch/logs"
@@ -48,6 +49,14 @@
 	Evacuated func(sharded bool) bool
 	// ReportCleared is called after a suspect has completed; nil reports nothing.
 	ReportCleared func(pollenlatch.Fingerprint)
+	// Adaptive reports whether the parts for overload apply; nil: they do not.
+	Adaptive func() bool
+	// Hint returns what other daemons need to know of the load of the local server; nil:
+	// they are told nothing.
+	Hint func() *pollenlatch.ServerHint
+	// ExpectedWait returns how long a nested call is likely to wait at the best server of
+	// a service, or false when that is not known; nil: it never is.
+	ExpectedWait func(service string) (time.Duration, bool)
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
 	// is passed on; 0 disables buffering.
 	ReadAheadBytes int
@@ -80,7 +89,8 @@
 	meter      *meter
 	logLimiter *logs.RequestLimiter
 
-	active activeRequests
+	active   activeRequests
+	forecast calls.Forecast
 }
 
 // New returns a Server with the defaults of cfg filled in.
@@ -100,6 +110,12 @@
 	if cfg.ReportCleared == nil {
 		cfg.ReportCleared = func(pollenlatch.Fingerprint) {}
 	}
+	if cfg.Adaptive == nil {
+		cfg.Adaptive = func() bool { return false }
+	}
+	if cfg.ExpectedWait == nil {
+		cfg.ExpectedWait = func(string) (time.Duration, bool) { return 0, false }
+	}
 	return &Server{cfg: cfg, meter: newMeter(cfg), logLimiter: logs.NewRequestLimiter()}
 }
 
@@ -115,13 +131,30 @@
 		if r.Routed() {
 			s.logFailure(r, f, time.Since(start))
 		}
+		if h := s.hint(r); h != nil {
+			g := *f
+			g.Hint = h
+			return nil, &g
+		}
 		return nil, f
 	}
 	s.meter.responses.Inc()
-	resp.OwnerAddr = s.cfg.FrontAddr
+	resp.OwnerAddr, resp.Hint = s.cfg.FrontAddr, s.hint(r)
 	return resp, nil
 }
 
+// hint returns what the response to a request, or its failure, says of the load of the
+// local server; nil when that is not the server of the request.
+func (s *Server) hint(r *pollenlatch.Request) *pollenlatch.ServerHint {
+	if s.cfg.Hint == nil || !r.Routed() || !s.cfg.Adaptive() {
+		return nil
+	}
+	if e, ok := s.cfg.Endpoint(); !ok || e.Service != r.Service || !e.Ready {
+		return nil
+	}
+	return s.cfg.Hint()
+}
+
 func (s *Server) handle(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
 	service, owner, err := s.checkOwner(ctx, r)
 	if err != nil {
@@ -185,6 +218,12 @@
 			return nil, fail(f)
 		}
 	}
+	adaptive := s.cfg.Adaptive()
+	if adaptive {
+		if f := s.checkCalls(r, time.Now()); f != nil {
+			return nil, fail(f)
+		}
+	}
 	incoming := s.beginBody(r)
 	defer incoming.End(false)
 	release, err := s.cfg.Admitter.Admit(ctx, pollenlatch.AdmitRequest{
@@ -197,6 +236,8 @@
 		Nested:       r.Nested,
 		Bulk:         r.Bulk,
 		Body:         incoming.IncomingBody,
+		Returned:     r.Returned,
+		Adaptive:     adaptive,
 	})
 	if err != nil {
 		incoming.countRefusal()
@@ -230,7 +271,13 @@
 		if s.evacuated(r) {
 			return Evacuated()
 		}
-		return permit.Check()
+		if err := permit.Check(); err != nil {
+			return err
+		}
+		if !pollenlatch.BeginRun(ctx) {
+			return refuse(pollenlatch.ReasonDeadlineExceeded, http.StatusServiceUnavailable, "the request was revoked")
+		}
+		return nil
 	}
 	tracked := false // released with the response body
 	notRun := false  // the server did not run it
@@ -293,8 +340,11 @@
 // exchange sends a request to the server. The request is active until its response
 // begins, because a server waits for its nested requests before it responds.
 func (s *Server) exchange(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
-	s.active.begin(r.ID, r.Retried)
+	s.active.begin(r.ID, r.Route, r.Retried)
 	defer s.active.end(r.ID)
+	if r.Routed() && s.cfg.Adaptive() {
+		s.forecast.RecordRun(r.Route, time.Now())
+	}
 	return s.cfg.Exchanger.Exchange(ctx, r, check)
 }
 
