--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -27,6 +27,10 @@
 	// server before the first is passed on. It is several times the size of a typical
 	// download, and amounts to a few MB for all slots of a server.
 	readAheadBytes = 1 << 20
+	// maxBufferedBytes is the maximum of these bytes over all responses, a sixth of the
+	// memory of an instance with 184 MB. Callers that read slowly could otherwise hold
+	// 1 MB for each of their connections.
+	maxBufferedBytes = 32 << 20
 	// payloadShare is the share of the network link's bandwidth that response bytes
 	// may use. The rest is for TCP/IP headers (4%), requests and control messages.
 	payloadShare = 0.9
@@ -79,7 +83,7 @@
 		Evacuated:     func(sharded bool) bool { return d.evacuation.Refuses(d.cfg.DC, sharded) },
 	}
 	if d.cfg.Platform != nil {
-		serveCfg.ReadAheadBytes, serveCfg.Intake = readAheadBytes, incoming
+		serveCfg.ReadAheadBytes, serveCfg.MaxBufferedBytes, serveCfg.Intake = readAheadBytes, maxBufferedBytes, incoming
 	}
 	d.serve = serve.New(serveCfg)
 	var forwardedHandler, localHandler pollenlatch.Handler = nil, d.serve
--- a/serve/body.go
+++ b/serve/body.go
@@ -5,11 +5,67 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pollenlatch"
 )
 
+// minReadAheadBytes is the part of a response that is always buffered, whatever other
+// responses hold. One connection of a caller holds as much elsewhere.
+const minReadAheadBytes = 16 << 10
+
+// readAheadBudget limits the memory of the buffered parts of all responses. Callers that
+// read slowly then occupy slots of the server and not the memory of the process. The zero
+// value has no limit.
+type readAheadBudget struct {
+	limit int64 // bytes; 0 is unlimited
+	used  atomic.Int64
+}
+
+// readAhead buffers the start of a response within the budget, and up to maxBytes of it.
+func (b *readAheadBudget) readAhead(resp *pollenlatch.Response, maxBytes int) (*pollenlatch.Response, error) {
+	need := int64(maxBytes)
+	if resp.Length >= 0 {
+		need = min(need, resp.Length)
+	}
+	if b.limit <= 0 || need <= minReadAheadBytes {
+		return readAhead(resp, maxBytes)
+	}
+	if b.used.Add(need) > b.limit {
+		b.used.Add(-need)
+		return readAhead(resp, min(maxBytes, minReadAheadBytes))
+	}
+	release := sync.OnceFunc(func() { b.used.Add(-need) })
+	resp, err := readAhead(resp, maxBytes)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	resp.Body = &budgetedBody{ReadCloser: resp.Body, release: release}
+	return resp, nil
+}
+
+// budgetedBody is a body whose buffered part counts for the budget until it was read or
+// closed.
+type budgetedBody struct {
+	io.ReadCloser
+	release func()
+}
+
+func (b *budgetedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.release()
+	}
+	return n, err
+}
+
+func (b *budgetedBody) Close() error {
+	b.release()
+	return b.ReadCloser.Close()
+}
+
 // readAhead buffers the first maxBytes bytes of a response body before any of it
 // is passed on. The server is free as soon as it has sent a body that fits,
 // however slowly the caller reads, and a truncated body can still be replaced by
--- a/serve/body_test.go
+++ b/serve/body_test.go
@@ -78,3 +78,41 @@
 		require.ErrorIs(t, err, broken)
 	})
 }
+
+// Guards against callers that read slowly and together hold more of the server's
+// responses than the process has memory for.
+func TestReadAheadBudget(t *testing.T) {
+	const size = 100 << 10
+	budget := readAheadBudget{limit: 5 * size}
+	var open []*pollenlatch.Response
+	closed := 0 // bodies that the server has sent completely, so that it has a free slot
+	for range 20 {
+		resp, body := responseOf(size, strings.NewReader(strings.Repeat("x", size)))
+		out, err := budget.readAhead(resp, 1<<20)
+		require.NoError(t, err)
+		open = append(open, out)
+		closed += body.closes
+		require.LessOrEqual(t, budget.used.Load(), budget.limit)
+	}
+	require.Equal(t, 5, closed)
+	for n, out := range open {
+		if n%2 == 0 {
+			require.NoError(t, out.Body.Close()) // the caller has left
+			continue
+		}
+		b, err := io.ReadAll(out.Body)
+		require.NoError(t, err)
+		require.Len(t, b, size)
+	}
+	require.Zero(t, budget.used.Load())
+
+	small, _ := responseOf(300, strings.NewReader(strings.Repeat("x", 300)))
+	budget.used.Store(budget.limit)
+	_, err := budget.readAhead(small, 1<<20)
+	require.NoError(t, err)
+	broken, _ := responseOf(size, strings.NewReader("x"))
+	budget.used.Store(0)
+	_, err = budget.readAhead(broken, 1<<20)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Zero(t, budget.used.Load())
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -51,6 +51,9 @@
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
 	// is passed on; 0 disables buffering.
 	ReadAheadBytes int
+	// MaxBufferedBytes is the maximum of these bytes over all responses; 0 is unlimited.
+	// Beyond it, little more than the head of a response is buffered.
+	MaxBufferedBytes int64
 	// Intake schedules the bodies of requests with LargeBody on the network link; nil
 	// is an unlimited link.
 	Intake pollenlatch.Intake
@@ -80,7 +83,8 @@
 	meter      *meter
 	logLimiter *logs.RequestLimiter
 
-	active activeRequests
+	active   activeRequests
+	buffered readAheadBudget
 }
 
 // New returns a Server with the defaults of cfg filled in.
@@ -100,7 +104,10 @@
 	if cfg.ReportCleared == nil {
 		cfg.ReportCleared = func(pollenlatch.Fingerprint) {}
 	}
-	return &Server{cfg: cfg, meter: newMeter(cfg), logLimiter: logs.NewRequestLimiter()}
+	s := &Server{cfg: cfg, meter: newMeter(cfg), logLimiter: logs.NewRequestLimiter()}
+	s.buffered.limit = cfg.MaxBufferedBytes
+	cfg.Metrics.GetOrCreateGauge("pollenlatch_serve_buffered_bytes", func() float64 { return float64(s.buffered.used.Load()) })
+	return s
 }
 
 // Handle runs one request. The request stays in flight until the body of the
@@ -276,7 +283,7 @@
 	tracked = true
 	resp = trackResponse(resp, permit, maxRun, release)
 	if s.cfg.ReadAheadBytes > 0 && r.Method != http.MethodHead {
-		if resp, err = readAhead(resp, s.cfg.ReadAheadBytes); err != nil {
+		if resp, err = s.buffered.readAhead(resp, s.cfg.ReadAheadBytes); err != nil {
 			failure = s.truncated(err)
 			return nil, failure
 		}
