--- a/serve/serve.go
+++ b/serve/serve.go
@@ -60,6 +60,9 @@
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
 	// is passed on; 0 disables buffering.
 	ReadAheadBytes int
+	// MaxBufferedBytes is the maximum of these bytes over all responses; 0 is unlimited.
+	// Beyond it, little more than the head of a response is buffered.
+	MaxBufferedBytes int64
 	// Intake schedules the bodies of requests with LargeBody on the network link; nil
 	// is an unlimited link.
 	Intake pollenlatch.Intake
@@ -91,6 +94,7 @@
 
 	active   activeRequests
 	forecast calls.Forecast
+	buffered readAheadBudget
 }
 
 // New returns a Server with the defaults of cfg filled in.
@@ -116,7 +120,10 @@
 	if cfg.ExpectedWait == nil {
 		cfg.ExpectedWait = func(string) (time.Duration, bool) { return 0, false }
 	}
-	return &Server{cfg: cfg, meter: newMeter(cfg), logLimiter: logs.NewRequestLimiter()}
+	s := &Server{cfg: cfg, meter: newMeter(cfg), logLimiter: logs.NewRequestLimiter()}
+	s.buffered.limit = cfg.MaxBufferedBytes
+	cfg.Metrics.GetOrCreateGauge("pollenlatch_serve_buffered_bytes", func() float64 { return float64(s.buffered.used.Load()) })
+	return s
 }
 
 // Handle runs one request. The request stays in flight until the body of the
@@ -323,7 +330,7 @@
 	tracked = true
 	resp = trackResponse(resp, permit, maxRun, release)
 	if s.cfg.ReadAheadBytes > 0 && r.Method != http.MethodHead {
-		if resp, err = readAhead(resp, s.cfg.ReadAheadBytes); err != nil {
+		if resp, err = s.buffered.readAhead(resp, s.cfg.ReadAheadBytes); err != nil {
 			failure = s.truncated(err)
 			return nil, failure
 		}
