--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,8 +114,7 @@
 	crashes         crash.Monitor
 	gauge           gauge.Gauge // load of the local server
 	adaptive        hints.Condition
-	serverHints     hints.Table   // of the daemons beside other servers
-	slowness        atomic.Uint32 // that the local server has reported last, in percent; 0 is none
+	serverHints     hints.Table // of the daemons beside other servers
 	recordTransfers pendingCalls[bool]
 	imported        importedRecords
 	eventRequests   pendingCalls[*pollenlatch.EventsReply]
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -78,12 +78,13 @@
 	}
 }
 
-// observeServer applies what a response says about the local server. The limit is in
+// observeServer applies what a response says about the local server. The load counts only
+// where the parts for overload apply. The limit is in
 // force at once here; the tracker announces it.
 func (d *Daemon) observeServer(s pollenlatch.ServerSignals) {
-	if s.Load != nil {
-		d.adaptive.RecordLoad(s.Load)
-		d.slowness.Store(s.Load.Slowness)
+	load := s.Load
+	if d.adaptive.RecordLoad(load); !d.isAdaptive() {
+		load = nil
 	}
 	d.mu.Lock()
 	if s.Incarnation != d.endpoint.Incarnation {
@@ -95,11 +96,11 @@
 	if changed {
 		d.setLimitLocked(limit)
 	}
-	if s.Load != nil {
-		d.gauge.Observe(*s.Load, now)
+	if load != nil {
+		d.gauge.Observe(*load, now)
 	}
 	d.mu.Unlock()
-	if a, ok := d.admitter.(gaugedAdmitter); ok && s.Load != nil {
+	if a, ok := d.admitter.(gaugedAdmitter); ok && load != nil {
 		a.LoadChanged()
 	}
 	if s.ColdFor != nil {
@@ -208,7 +209,7 @@
 	}
 	h := scheduler.Hint()
 	e, _ := d.localServer()
-	h.Slowness, h.Cold = d.slowness.Load(), e.Cold
+	h.Slowness, h.Cold = d.gauge.Slowness(time.Now()), e.Cold
 	return h
 }
 
--- a/daemon/restore_test.go
+++ b/daemon/restore_test.go
@@ -75,3 +75,12 @@
 	_, free = d.localFreeSlots()
 	require.Equal(t, 9, free)
 }
+
+// A deployment that asks for none of the parts for overload is served as before, although
+// its servers state three figures of their load.
+func TestLoadWithoutSlowness(t *testing.T) {
+	d := newPlatformDaemon(t)
+	d.inheritEndpoint(pollenlatch.Endpoint{Service: "listing", Addr: "127.0.0.1:1", Incarnation: 7, Slots: 9, Ready: true, Heartbeats: true, ID: "s1", StartedAt: 1})
+	d.observeServer(pollenlatch.ServerSignals{Incarnation: 7, Load: &pollenlatch.ServerLoad{Running: 4, Slots: 9}})
+	require.False(t, d.gauge.StatesLoad())
+}
