--- a/link/forward.go
+++ b/link/forward.go
@@ -68,8 +68,7 @@
 	}
 	close(x.timersSet)
 	if f := x.sendRequest(r); f != nil {
-		x.abort()
-		return nil, f
+		return nil, x.revokeFailed(f)
 	}
 	return x.readResponse()
 }
@@ -321,12 +320,7 @@
 		}
 	}
 	if err != nil {
-		lost := x.abortCause() == nil && !x.revoked.Load()
-		f := x.fail(err)
-		if f.Outcome == pollenlatch.OutcomeUnknown && (x.revoked.Load() || (lost && x.revokeAfterLoss())) {
-			return nil, x.notRun(lost)
-		}
-		return nil, f
+		return nil, x.revokeFailed(x.fail(err))
 	}
 	x.stopTimers()
 	x.session.node.recordReceived(len(b))
@@ -353,6 +347,17 @@
 	}
 }
 
+// revokeFailed aborts the exchange and returns its failure. Where the outcome is unknown,
+// the daemon may be able to tell that the request has not run and never will.
+func (x *exchange) revokeFailed(f *pollenlatch.Failure) *pollenlatch.Failure {
+	lost := x.abortCause() == nil && !x.revoked.Load()
+	x.abort()
+	if f.Outcome == pollenlatch.OutcomeUnknown && (x.revoked.Load() || (lost && x.revokeAfterLoss())) {
+		return x.notRun(lost)
+	}
+	return f
+}
+
 // notRun returns the failure of a request that was revoked: near its deadline, or after
 // its connection was lost.
 func (x *exchange) notRun(lost bool) *pollenlatch.Failure {
