--- a/cold/cold_test.go
+++ b/cold/cold_test.go
@@ -154,6 +154,37 @@
 	require.Less(t, busiestSecond(sent), maxPerSecond(testRate))
 }
 
+// Health checks cost a request each. They must be as few as the bound allows at each rate:
+// none where a cold server may get as many requests, and no more than a cold server may get
+// in a second between two of them.
+func TestCheckDue(t *testing.T) {
+	t.Parallel()
+	const interval = 250
+	for _, tt := range []struct {
+		rate, minChecks, maxChecks int // requests a second; checks in ten seconds
+	}{{10, 0, 0}, {20, 5, 14}, {35, 15, 21}, {60, 35, 41}} {
+		var g Gate
+		g.SetLimit(testRate)
+		checks, sent, sinceCheck, most := 0, 0, 0, 0
+		for ms := range 12_000 {
+			for ; sent < ms*tt.rate/1000; sent++ {
+				require.Zero(t, g.Send(false, at(ms)))
+				sinceCheck++
+			}
+			if ms%interval == 0 && g.CheckDue(interval*time.Millisecond, at(ms)) {
+				g.Checked(at(ms))
+				if ms >= 2000 {
+					checks, most = checks+1, max(most, sinceCheck)
+				}
+				sinceCheck = 0
+			}
+		}
+		require.GreaterOrEqual(t, checks, tt.minChecks, "%d requests a second", tt.rate)
+		require.LessOrEqual(t, checks, tt.maxChecks, "%d requests a second", tt.rate)
+		require.LessOrEqual(t, most, maxInWindow(admitFactor, admitSlack, testRate), "%d requests a second", tt.rate)
+	}
+}
+
 // A server that answers half as fast all at once must be noticed after a few responses.
 // Single slow responses, and a lasting slowness, must not cause a check each.
 func TestDip(t *testing.T) {
--- a/cold/limit.go
+++ b/cold/limit.go
@@ -84,8 +84,10 @@
 // for a body or a connection. The zero value has no limit. It takes the time as an
 // argument, and its callers must lock it.
 type Gate struct {
-	perSecond float64
-	sent      history
+	perSecond  float64
+	sent       history
+	checkedAt  time.Time // of the newest check of the server's state
+	sinceCheck int       // requests sent since then
 }
 
 // SetLimit sets the requests a second that the server gets while it is cold; 0 is no
@@ -112,9 +114,25 @@
 		}
 	}
 	g.sent.add(now)
+	g.sinceCheck++
 	return 0
 }
 
+// Checked records that the server's state is known at now.
+func (g *Gate) Checked(now time.Time) { g.checkedAt, g.sinceCheck = now, 0 }
+
+// CheckDue reports whether the state of a warm server must be checked now, if the next
+// opportunity is after the given time. A server that has become cold since the last check
+// must not have got more requests by then than a cold one gets in a second.
+func (g *Gate) CheckDue(next time.Duration, now time.Time) bool {
+	if !g.ExceedsColdRate(now) {
+		return false
+	}
+	elapsed := now.Sub(g.checkedAt).Seconds()
+	expected := float64(g.sinceCheck) * (1 + next.Seconds()/max(elapsed, next.Seconds()/2))
+	return expected > float64(maxInWindow(admitFactor, admitSlack, g.perSecond))
+}
+
 // ExceedsColdRate reports whether more requests were sent in the last second than a cold
 // server may get.
 func (g *Gate) ExceedsColdRate(now time.Time) bool {
--- a/daemon/cold.go
+++ b/daemon/cold.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// healthInterval is the interval of the health checks while a server gets more
-	// requests than a cold server tolerates, or has not stated yet whether it is cold. At
-	// 60 requests a second, a server that becomes cold gets 15 more before the next one;
-	// the interval of heartbeats is longer.
+	// healthInterval is the interval in which a health check is made if one is due: while
+	// a server gets more requests than a cold server tolerates, or has not stated yet
+	// whether it is cold. At 60 requests a second, a server that becomes cold gets 15 more
+	// before the next one; the interval of heartbeats is longer.
 	healthInterval = 250 * time.Millisecond
 	// minHealthInterval is the minimum time between two health checks.
 	minHealthInterval = 100 * time.Millisecond
@@ -63,6 +63,7 @@
 	defer g.mu.Unlock()
 	g.setServerLocked(e)
 	g.monitor.Heartbeat(left, now)
+	g.gate.Checked(now)
 	g.updateLocked(now)
 	return g.isCold
 }
@@ -175,7 +176,7 @@
 func (g *coldGuard) needsCheck(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rate > 0 && (!g.monitor.Known() || (!g.isCold && g.gate.ExceedsColdRate(now)))
+	return g.rate > 0 && (!g.monitor.Known() || (!g.isCold && g.gate.CheckDue(healthInterval, now)))
 }
 
 // recordCheck counts a health check.
@@ -184,6 +185,7 @@
 	defer g.mu.Unlock()
 	g.checks++
 	if err == nil {
+		g.gate.Checked(now)
 		return
 	}
 	g.failed++
