--- a/ctrl/evacuation_test.go
+++ b/ctrl/evacuation_test.go
@@ -1,12 +1,15 @@
 package ctrl
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"pollenlatch"
+	"pollenlatch/quorum"
 )
 
 // order submits an order through a node, with the timing of a caller that waits for
@@ -199,3 +202,27 @@
 		require.EqualValues(t, 1, d.access.EvacuatedSince["dc1"], "the time counts from the restart")
 	})
 }
+
+// instantDisk completes writes at once.
+type instantDisk struct{}
+
+func (instantDisk) Save(quorum.Persist) error { return nil }
+
+// A daemon that ends goes on serving for some seconds after its control loop, and must not
+// send requests to an evacuated server meanwhile.
+func TestEvacuationOutlastsLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, control := newSingleVoterLoop(instantDisk{}, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		l.Start(ctx)
+		<-time.After(time.Second)
+		verdict, err := l.SubmitEvacuation(ctx, &pollenlatch.Evacuate{DC: "dc1"})
+		require.NoError(t, err)
+		require.True(t, verdict.Accepted)
+		require.NotZero(t, control.EvacuatedSince("dc1"))
+		cancel()
+		<-l.Done()
+		require.NotZero(t, control.EvacuatedSince("dc1"))
+		require.Zero(t, control.EvacuatedSince("dc2"))
+	})
+}
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -284,7 +284,7 @@
 
 // shutdown publishes an Access without a lease and waits for the workers.
 func (l *Loop) shutdown() {
-	l.Control.Publish(Access{View: l.Reducer.State(), JoinVersion: l.Reducer.joinVersion})
+	l.Control.Publish(Access{View: l.Reducer.State(), JoinVersion: l.Reducer.joinVersion, EvacuatedSince: l.Reducer.evacuatedSince})
 	close(l.stopped)
 	close(l.writes)
 	close(l.grantCalls)
