--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -343,7 +343,8 @@
 	if r.Nested || r.starved || !r.missesObjective(end) {
 		return nil
 	}
-	delayed := now.Add(time.Duration(float64(wait) / s.spareShare(r)))
+	// A late body moves in the spare time of the link only, so it is delayed as well.
+	delayed := now.Add(time.Duration(float64(wait+r.bodyTime)/s.spareShare(r)) - r.bodyTime)
 	if delayed.Add(serviceTime).After(r.Deadline) {
 		return s.refusal(r, delayed.Sub(now), now, "lasting overload: the response would miss the latency objective")
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -230,9 +230,14 @@
 		l.notify()
 		return nil
 	case <-ctx.Done():
-		l.mu.Lock()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-ready: // its turn has come in the meantime
+		return nil
+	default:
 		t.body.chunk = 0
-		l.mu.Unlock()
 		return ctx.Err()
 	}
 }
--- a/intake/queue.go
+++ b/intake/queue.go
@@ -146,8 +146,10 @@
 	q.busyUntil = q.busyUntil.Add(q.moveTime(n))
 }
 
-// order returns the bodies in the order in which they move. Those of stalled senders
-// come last: they cannot use their turn.
+// order returns the bodies in the order in which they move. A body that has started
+// yields to one that is due earlier only if it can still meet its deadline: bytes that
+// have moved would be lost. Those of stalled senders come last: they cannot use their
+// turn.
 func (q *queue) order(now time.Time) []*body {
 	moving, stalled := make([]*body, 0, len(q.bodies)), []*body(nil)
 	for _, b := range q.bodies {
@@ -157,11 +159,42 @@
 			moving = append(moving, b)
 		}
 	}
-	return append(pace.Order(moving, now,
+	order := q.orderOf(moving, now)
+	if end := now; q.losesStarted(order, end) {
+		var started, waiting []*body
+		for _, b := range order {
+			if b.started {
+				started = append(started, b)
+				end = end.Add(q.moveTime(b.remaining()))
+			} else {
+				waiting = append(waiting, b)
+			}
+		}
+		order = append(q.orderOf(started, now), q.orderOf(waiting, end)...)
+	}
+	return append(order, stalled...)
+}
+
+func (q *queue) orderOf(bodies []*body, now time.Time) []*body {
+	return pace.Order(bodies, now,
 		func(b *body) time.Duration { return q.moveTime(b.remaining()) },
 		func(b *body) time.Time { return b.softDeadline },
 		func(b *body) time.Time { return b.deadline },
-	), stalled...)
+	)
+}
+
+// losesStarted reports whether a started body misses its deadline in an order that puts
+// others before it.
+func (q *queue) losesStarted(order []*body, now time.Time) bool {
+	end, waiting := now, false
+	for _, b := range order {
+		end = end.Add(q.moveTime(b.remaining()))
+		if b.started && waiting && end.After(b.deadline) {
+			return true
+		}
+		waiting = waiting || !b.started
+	}
+	return false
 }
 
 // expectedArrival returns when a body is likely to have arrived.
--- a/intake/queue_test.go
+++ b/intake/queue_test.go
@@ -228,6 +228,20 @@
 	require.Greater(t, q.expectedArrival(long, now).Sub(now), 350*time.Millisecond)
 }
 
+// Guards against a body of which a part has moved and that then misses its deadline behind
+// bodies that came later.
+func TestStartedBodyIsNotLost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := newQueue(1 << 20)
+	late := &body{size: 360 << 10, softDeadline: now, deadline: now.Add(500 * time.Millisecond)}
+	q.add(late)
+	q.start(late, now)
+	for range 20 {
+		q.add(&body{size: 20 << 10, softDeadline: now.Add(time.Second), deadline: now.Add(2 * time.Second)})
+	}
+	require.False(t, q.expectedArrival(late, now).After(late.deadline))
+}
+
 // BenchmarkArrival measures the decision on a body while 20 others wait.
 func BenchmarkArrival(b *testing.B) {
 	now := time.Unix(1000, 0)
--- a/serve/largebody.go
+++ b/serve/largebody.go
@@ -24,6 +24,10 @@
 	// bodyStallTime is the time without progress after which a body is given up, since
 	// its request occupies a slot. A lost packet is sent again within that time.
 	bodyStallTime = 2 * time.Second
+	// bodyDeadlineMargin is how long before the deadline a body is given up, so that the
+	// failure, which says that the request has not run, reaches the caller in time. One
+	// that arrives later leaves no time for the run anyway.
+	bodyDeadlineMargin = 50 * time.Millisecond
 )
 
 // awaitsBody reports whether a request has a large body that is still at its sender.
@@ -75,14 +79,14 @@
 		return nil
 	}
 	start := time.Now()
-	limited, cancel := context.WithDeadline(ctx, r.Deadline)
+	limited, cancel := context.WithDeadline(ctx, r.Deadline.Add(-bodyDeadlineMargin))
 	defer cancel()
-	paced := &pacedBody{ctx: limited, Reader: r.Body, incoming: incoming, left: r.Length}
+	paced := &pacedBody{ctx: limited, Reader: r.Body, incoming: incoming, left: r.Length, deadline: r.Deadline}
 	paced.sender, _ = sender.(pollenlatch.RequestedBody)
 	prefix, err := readBody(limited, paced)
 	if err != nil {
 		s.meter.bodiesFailed.Inc()
-		return bodyFailure(limited, err)
+		return bodyFailure(limited, err, incoming)
 	}
 	if len(prefix) < maxReceivedBytes {
 		incoming.End(true)
@@ -95,6 +99,17 @@
 	return crash.Check(s.cfg.Control.View(), r)
 }
 
+// turnRecheckInterval is the interval at which a body that waits for its turn is checked
+// for whether it can still arrive in time.
+const turnRecheckInterval = 50 * time.Millisecond
+
+// minBodyRetryAfter is the minimum time after which the caller of a body that was given
+// up is asked to retry.
+const minBodyRetryAfter = 20 * time.Millisecond
+
+// errBodyLate says that others that are due earlier keep the link busy for too long.
+var errBodyLate = errors.New("the rest of the body would arrive after the deadline")
+
 // errBodyStalled says that the sender of a body has stopped.
 var errBodyStalled = errors.New("no byte of the body arrived in time")
 
@@ -133,8 +148,12 @@
 
 // bodyFailure returns the failure of a request whose body could not be received. It has
 // not reached the server.
-func bodyFailure(ctx context.Context, err error) *pollenlatch.Failure {
+func bodyFailure(ctx context.Context, err error, incoming incomingBody) *pollenlatch.Failure {
 	switch {
+	case errors.Is(err, errBodyLate):
+		f := refuse(pollenlatch.ReasonOverloaded, http.StatusServiceUnavailable, err.Error())
+		f.RetryAfter = max(minBodyRetryAfter, time.Until(incoming.Arrival(time.Now()))-incoming.TransferTime())
+		return f
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return refuse(pollenlatch.ReasonDeadlineExceeded, http.StatusGatewayTimeout, "the body did not arrive before the deadline")
 	case ctx.Err() != nil:
@@ -154,6 +173,7 @@
 	sender   pollenlatch.RequestedBody // nil when the sender is not asked
 	granted  int                       // bytes that may be read
 	left     int64                     // bytes that were not granted yet; negative when the length is unknown
+	deadline time.Time                 // of the request
 	stall    *time.Timer               // fires when a read makes no progress; nil after the part in memory
 }
 
@@ -190,7 +210,7 @@
 		b.left -= int64(n)
 	}
 	if b.incoming.IncomingBody != nil {
-		if err := b.incoming.Wait(b.ctx, n); err != nil {
+		if err := b.awaitTurn(n); err != nil {
 			return err
 		}
 	}
@@ -202,3 +222,19 @@
 	b.granted = n
 	return nil
 }
+
+// awaitTurn waits until the next n bytes may be requested. It gives up when the body is
+// likely to arrive too late.
+func (b *pacedBody) awaitTurn(n int) error {
+	for {
+		if b.stall != nil && b.incoming.Arrival(time.Now()).After(b.deadline) {
+			return errBodyLate
+		}
+		ctx, cancel := context.WithTimeout(b.ctx, turnRecheckInterval)
+		err := b.incoming.Wait(ctx, n)
+		cancel()
+		if err == nil || b.ctx.Err() != nil {
+			return err
+		}
+	}
+}
