--- a/relay/health.go
+++ b/relay/health.go
@@ -29,37 +29,61 @@
 	errInvalidColdTime = errors.New("invalid time for which a server stays cold")
 )
 
-// CheckHealth sends a health check to the server on a connection of its own, which does
-// not wait for those of requests, and returns what the response says about the server.
-// It needs Headers.
+// CheckHealth sends a health check to the server on a connection that does not wait for
+// those of requests and is kept for the next check, and returns what the response says
+// about the server. It needs Headers. Concurrent calls wait for each other.
 func (rl *Relay) CheckHealth(ctx context.Context, path string) (pollenlatch.ServerSignals, error) {
+	rl.healthMu.Lock()
+	defer rl.healthMu.Unlock()
 	deadline := time.Now().Add(healthTimeout)
-	c, err := rl.pool.open(ctx, deadline)
-	if err != nil {
-		return pollenlatch.ServerSignals{}, fmt.Errorf("health check: %w", err)
+	c := rl.healthConn
+	rl.healthConn = nil
+	if c == nil || !rl.pool.isCurrent(c) || time.Since(c.idleSince) >= c.idleLimit() || !c.alive() {
+		if c != nil {
+			_ = c.Close()
+		}
+		var err error
+		if c, err = rl.pool.open(ctx, deadline); err != nil {
+			return pollenlatch.ServerSignals{}, fmt.Errorf("health check: %w", err)
+		}
 	}
-	defer func() { _ = c.Close() }()
+	signals, reusable, err := rl.checkHealthOn(ctx, c, path, deadline)
+	if err != nil || !reusable {
+		_ = c.Close()
+		return signals, err
+	}
+	c.idleSince = time.Now()
+	rl.healthConn = c
+	return signals, nil
+}
+
+// checkHealthOn makes a health check on a connection, and reports whether the connection
+// may be used for another one.
+func (rl *Relay) checkHealthOn(ctx context.Context, c *conn, path string, deadline time.Time) (signals pollenlatch.ServerSignals, reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stop()
+	defer func() { reusable = stop() && reusable }()
 	_ = c.SetDeadline(deadline) // fails only on a closed connection, on which writes fail too
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI(path)
 	req.SetHost(c.host)
-	req.SetConnectionClose()
 	c.w.Reset(c.Conn)
 	if err := req.Write(c.w); err != nil {
-		return pollenlatch.ServerSignals{}, fmt.Errorf("health check: %w", err)
+		return pollenlatch.ServerSignals{}, false, fmt.Errorf("health check: %w", err)
 	}
 	if err := c.w.Flush(); err != nil {
-		return pollenlatch.ServerSignals{}, fmt.Errorf("health check: %w", err)
+		return pollenlatch.ServerSignals{}, false, fmt.Errorf("health check: %w", err)
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	if err := readFinal(c.r, resp, maxHealthBytes); err != nil {
-		return pollenlatch.ServerSignals{}, fmt.Errorf("health check: %w", err)
+		return pollenlatch.ServerSignals{}, false, fmt.Errorf("health check: %w", err)
+	}
+	c.recordKeepAlive(&resp.Header)
+	if signals, err = rl.healthSignals(c, resp); err != nil {
+		return signals, false, err
 	}
-	return rl.healthSignals(c, resp)
+	return signals, !resp.Header.ConnectionClose() && c.r.Buffered() == 0, nil
 }
 
 func (rl *Relay) healthSignals(c *conn, resp *fasthttp.Response) (pollenlatch.ServerSignals, error) {
--- a/relay/health_test.go
+++ b/relay/health_test.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -55,3 +58,21 @@
 	require.NoError(t, err)
 	require.Equal(t, &pollenlatch.ServerLoad{Running: 3, Waiting: 1, Slots: 12, Slowness: 300}, signals.Load)
 }
+
+// Each connection costs a server time. Guards against one for every health check, and
+// against a check of a server that has ended on the connection to it.
+func TestHealthCheckKeepsConnection(t *testing.T) {
+	f := &fakeServer{handle: func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nCold: 0\r\nContent-Length: 2\r\n\r\nok")
+	}}
+	relay := f.newPlatformRelay(t)
+	for range 3 {
+		_, err := relay.CheckHealth(t.Context(), "/healthz")
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 1, f.opened.Load())
+	relay.SetEndpoint(pollenlatch.Endpoint{Addr: "server:80", MaxConns: 2, ID: "s2", Incarnation: 2})
+	_, err := relay.CheckHealth(t.Context(), "/healthz")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, f.opened.Load())
+}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -162,6 +162,13 @@
 	}
 }
 
+// isCurrent reports whether a connection leads to the present server.
+func (p *pool) isCurrent(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.closed && c.generation == p.generation
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,9 @@
 	invalidCold  sync.Once // logs the first invalid cold state
 	invalidLoad  sync.Once // logs the first invalid load
 	silenceLog   *logs.Limiter
+
+	healthMu   sync.Mutex
+	healthConn *conn // of the last health check; nil when it was closed
 }
 
 // DefaultMaxResponseBytes is as large as the largest request body. A server in trouble
@@ -74,7 +77,14 @@
 func (rl *Relay) SetEndpoint(e pollenlatch.Endpoint) { rl.pool.setEndpoint(e) }
 
 // Close closes the idle connections and refuses further requests.
-func (rl *Relay) Close() { rl.pool.close() }
+func (rl *Relay) Close() {
+	rl.pool.close()
+	rl.healthMu.Lock()
+	defer rl.healthMu.Unlock()
+	if rl.healthConn != nil {
+		_ = rl.healthConn.Close()
+	}
+}
 
 func (rl *Relay) maxRun(service string) time.Duration {
 	if rl.cfg.MaxRun != nil {
