--- a/link/requested.go
+++ b/link/requested.go
@@ -196,7 +196,7 @@
 }
 
 // unrequested reports whether no byte of the body has been or will be requested, so that
-// the next frame of the stream is another head.
+// the next frame of the stream does not belong to it.
 func (b *requestedBody) unrequested() bool {
 	if b == nil {
 		return false
@@ -226,12 +226,9 @@
 	if err := st.enqueue(in); err != nil {
 		return err
 	}
-	h, err := st.r.Peek(frameHeaderBytes)
-	if err == nil && frameKind(h[4]) == kindHead {
-		if in.onRequest.unrequested() {
-			return nil
-		}
-		err = errMalformedFrame
+	_, err := st.r.Peek(frameHeaderBytes)
+	if err == nil && in.onRequest.unrequested() {
+		return nil // the next frame belongs to another request, or revokes one
 	}
 	if err == nil {
 		err = st.copyBody(in, pw, 0)
--- a/link/requested_test.go
+++ b/link/requested_test.go
@@ -101,11 +101,14 @@
 		}
 		return nil, want
 	})
-	for range 5 {
+	for n := range 5 {
 		body := &countedBody{Reader: bytes.NewReader(make([]byte, 100<<10))}
 		_, err := client.Forward(t.Context(), addr, largeRequest(body, 100<<10))
 		require.Equal(t, want, err)
 		require.Zero(t, body.read.Load(), "bytes of the body of a refused request were sent")
+		client.revoke(t.Context(), addr, 1, time.Now(), time.Second)
+		answered, _ := client.Revocations()
+		require.EqualValues(t, n+1, answered, "a revocation behind the refusal was not answered")
 		r := largeRequest(onlyReader{bytes.NewReader(make([]byte, 30_000))}, 30_000)
 		r.Key = "other"
 		resp, err := client.Forward(t.Context(), addr, r)
