--- a/admit/adaptive.go
+++ b/admit/adaptive.go
@@ -34,9 +34,6 @@
 	refusedAt     [numClasses]time.Time // last refusal of a request that could have met its objective
 }
 
-// group returns the group of requests for whose share a request counts.
-func group(r *request) fair.Group { return fair.Group{Route: r.Route, Returned: r.Returned} }
-
 // arrive counts a new request, and decides whether its route is starved: then it counts
 // as served at once, so that of several requests that arrive together only as many go
 // first as the minimum share needs.
@@ -48,8 +45,9 @@
 	if r.Nested {
 		a.nestedSlots += r.runTime.Seconds() / loadWindow.Seconds()
 	}
-	if r.starved = a.shares.Offer(group(r), now); r.starved {
-		a.shares.Serve(group(r))
+	starved := a.shares.Offer(r.Route, r.Returned, now)
+	if r.starved = starved || r.Starved; r.starved {
+		a.shares.Serve(r.Route)
 	}
 }
 
@@ -59,7 +57,7 @@
 		a.nestedRunning++
 	}
 	if !r.starved {
-		a.shares.Serve(group(r))
+		a.shares.Serve(r.Route)
 	}
 }
 
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -1,4 +1,4 @@
-// Package fair keeps a minimum share for each group of requests under overload.
+// Package fair keeps a minimum share for each route of a service under overload.
 package fair
 
 import (
@@ -9,31 +9,23 @@
 const (
 	// window is the time over which requests are averaged.
 	window = 4 * time.Second
-	// minShare is how often the requests of a group are served at least, relative to all
-	// requests. Callers need a quarter; the margin makes up for requests that are started
+	// minShare is how often the callers of a route are served at least, relative to all
+	// callers. Callers need a quarter; the margin makes up for requests that are started
 	// and then fail.
 	minShare = 0.3
-	// minRequests is the number of recent requests of a group below which it is not said
-	// to be starved.
+	// minRequests is the number of recent callers of a route below which it is not said to
+	// be starved.
 	minRequests = 4
-	// maxGroups limits the groups that are kept.
-	maxGroups = 1024
+	// maxRoutes limits the routes that are kept.
+	maxRoutes = 1024
 )
 
-// Group is a group of requests that keeps a minimum share. The requests whose callers
-// have come back are a group of their own: their objective has often passed, so the
-// others of their route would always go first.
-type Group struct {
-	Route    string
-	Returned bool
-}
-
-// Shares counts how many of the requests of each group are offered and served. It
+// Shares counts how many callers of each route there are, and how many are served. It
 // addresses an overload in which more urgent requests take all that can be served. It
 // takes the time as an argument, and its callers must lock it. The zero value is ready to
 // use.
 type Shares struct {
-	groups    map[Group]*share
+	routes    map[string]*share
 	all       share
 	decayedAt time.Time
 }
@@ -51,36 +43,49 @@
 	s.decayedAt = now
 	x := math.Exp(-elapsed.Seconds() / window.Seconds())
 	s.all.decay(x)
-	for k, g := range s.groups {
-		if g.decay(x); g.offered < 0.01 {
-			delete(s.groups, k)
+	for name, r := range s.routes {
+		if r.decay(x); r.offered+r.served < 0.01 {
+			delete(s.routes, name)
 		}
 	}
 }
 
-func (s *Shares) group(k Group) *share {
-	g := s.groups[k]
-	if g == nil {
-		if s.groups == nil || len(s.groups) >= maxGroups {
-			s.groups = make(map[Group]*share)
+func (s *Shares) route(name string) *share {
+	r := s.routes[name]
+	if r == nil {
+		if s.routes == nil || len(s.routes) >= maxRoutes {
+			s.routes = make(map[string]*share)
 		}
-		g = new(share)
-		s.groups[k] = g
+		r = new(share)
+		s.routes[name] = r
 	}
-	return g
+	return r
 }
 
-// Offer counts a new request, and reports whether its group is served too rarely.
-func (s *Shares) Offer(k Group, now time.Time) (starved bool) {
+// Offer counts a request, and reports whether its route is served too rarely. A caller
+// that has come back counts only once: the callers of a route that is often refused would
+// otherwise get a share for each of their attempts.
+func (s *Shares) Offer(route string, returned bool, now time.Time) (starved bool) {
 	s.decay(now)
-	g := s.group(k)
-	g.offered++
-	s.all.offered++
-	return g.offered >= minRequests && g.served*s.all.offered < minShare*s.all.served*g.offered
+	r := s.route(route)
+	if !returned {
+		r.offered++
+		s.all.offered++
+	}
+	return r.offered >= minRequests && r.served*s.all.offered < minShare*s.all.served*r.offered
 }
 
-// Serve counts a request that is served.
-func (s *Shares) Serve(k Group) {
-	s.group(k).served++
+// Serve counts a request that is served. A starved one is counted as soon as it goes
+// first, so that of several requests that arrive together only as many do as the minimum
+// share needs.
+func (s *Shares) Serve(route string) {
+	s.route(route).served++
 	s.all.served++
 }
+
+// Unserve takes back Serve for a request that was not served after all.
+func (s *Shares) Unserve(route string) {
+	r := s.route(route)
+	r.served = max(0, r.served-1)
+	s.all.served = max(0, s.all.served-1)
+}
--- a/front/hints.go
+++ b/front/hints.go
@@ -66,14 +66,14 @@
 
 // checkFull refuses the request if all of its servers are known to be full of requests
 // that are at least as urgent. It would be held there, or refused after a hop. The
-// requests of a route that is served too rarely are sent all the same, and so are those
-// whose callers came back when they were told to.
+// requests of a route that is served too rarely are sent all the same. A request whose
+// caller has come back goes first in its class, so it is refused only for more urgent ones.
 func (p *pendingRequest) checkFull() *pollenlatch.Failure {
-	if _, ok := p.throttleTarget(); !ok || p.starved || p.request.Waited > 0 || !p.adaptive() {
+	if _, ok := p.throttleTarget(); !ok || p.starved || !p.adaptive() {
 		return nil
 	}
 	now := time.Now()
-	wait, full := p.cfg.Hints.Full(p.servers(), p.request.Class, now)
+	wait, full := p.cfg.Hints.Full(p.servers(), p.request.Class, p.request.Waited > 0, now)
 	if !full {
 		return nil
 	}
@@ -86,6 +86,9 @@
 			"class", p.request.Class, "servers", len(p.servers()), "waitMs", wait.Milliseconds(), "suppressed", suppressed)
 	}
 	f := notRunFailure(pollenlatch.ReasonOverloaded, http.StatusServiceUnavailable, "all servers of the request are full of requests that are at least as urgent")
+	if k, ok := p.throttleTarget(); ok {
+		wait = max(wait, p.throttle.retryAfter(k, now))
+	}
 	f.RetryAfter = p.retryAfter(wait, now)
 	return f
 }
@@ -98,7 +101,8 @@
 }
 
 // withRetryAfter returns a failure because of overload with the expected wait at the best
-// server as Retry-After, if that is known.
+// server as Retry-After, if that is known. The server that refused the request may have
+// named a longer time, which accounts for more urgent requests that keep arriving.
 func (p *pendingRequest) withRetryAfter(f *pollenlatch.Failure) *pollenlatch.Failure {
 	if f.Outcome != pollenlatch.OutcomeNotRun || !overloadReasons.Has(f.Reason) || !p.adaptive() {
 		return f
@@ -109,7 +113,7 @@
 		return f
 	}
 	g := *f
-	g.RetryAfter = p.retryAfter(wait, now)
+	g.RetryAfter = p.retryAfter(max(wait, f.RetryAfter), now)
 	return &g
 }
 
@@ -120,7 +124,8 @@
 	services map[string]*fair.Shares
 }
 
-// offer counts a new request, and reports whether its route is served too rarely.
+// offer counts a new request, and reports whether its route is served too rarely. If so, it
+// counts as served until end.
 func (s *serviceShares) offer(r *pollenlatch.Request, now time.Time) (starved bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -132,18 +137,22 @@
 		f = new(fair.Shares)
 		s.services[r.Service] = f
 	}
-	return f.Offer(groupOf(r), now)
+	if starved = f.Offer(r.Route, r.Waited > 0, now); starved {
+		f.Serve(r.Route)
+	}
+	return starved
 }
 
-// serve counts a request that was served.
-func (s *serviceShares) serve(r *pollenlatch.Request) {
+// end records the result of a request for which offer returned starved.
+func (s *serviceShares) end(r *pollenlatch.Request, starved, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if f := s.services[r.Service]; f != nil {
-		f.Serve(groupOf(r))
+	f := s.services[r.Service]
+	switch {
+	case f == nil:
+	case served && !starved:
+		f.Serve(r.Route)
+	case starved && !served:
+		f.Unserve(r.Route)
 	}
 }
-
-func groupOf(r *pollenlatch.Request) fair.Group {
-	return fair.Group{Route: r.Route, Returned: r.Waited > 0}
-}
--- a/front/router.go
+++ b/front/router.go
@@ -114,6 +114,7 @@
 	target     target                 // of the last attempt
 	usable     []pollenlatch.Instance // endpoints that may run a request that is not routed by shard
 	starved    bool                   // its route is served too rarely
+	served     bool
 }
 
 // target is the destination of one attempt.
@@ -149,6 +150,7 @@
 			if p.starved = rt.shares.offer(r, time.Now()); r.Nested {
 				rt.cfg.ServiceBudgets.KeepForNested(r.Service)
 			}
+			defer func() { rt.shares.end(r, p.starved, p.served) }()
 		}
 		prepareRetry = p.prepareRoutedRetry
 	} else {
@@ -168,9 +170,7 @@
 		resp, f := p.sendAttempt(ctx)
 		if f == nil {
 			p.recordThrottle(nil)
-			if p.adaptive() && resp.Status < http.StatusInternalServerError {
-				rt.shares.serve(r)
-			}
+			p.served = resp.Status < http.StatusInternalServerError
 			return resp, nil
 		}
 		p.recordThrottle(f)
@@ -384,6 +384,7 @@
 	req := *p.request
 	req.Version, req.Shard, req.Fence, req.Idempotent = t.version, t.owner.Shard, t.owner.Fence, t.idempotent
 	req.Retried, req.Returned = req.Retried || p.sends > 0, req.Waited > 0
+	req.Starved = p.starved
 	start := time.Now()
 	if p.body != nil {
 		if req.Body = p.body.rewind(); req.Body == nil {
--- a/front/throttle.go
+++ b/front/throttle.go
@@ -113,6 +113,13 @@
 	}
 }
 
+// retryAfter returns the Retry-After of the last refusal of a target; 0 is none.
+func (t *throttle) retryAfter(k throttleTarget, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.target(k, now).retryAfter
+}
+
 // refusedShare returns the share of the requests to a target that are refused, 0 to 1.
 func (t *throttle) refusedShare(k throttleTarget, now time.Time) float64 {
 	t.mu.Lock()
--- a/hints/table.go
+++ b/hints/table.go
@@ -88,14 +88,20 @@
 // Full reports whether all of the servers are known to be full of requests that are at
 // least as urgent as one of a class: each of them has just refused such a request, and
 // nothing less urgent waits or runs there. wait is the expected wait at the best of them.
-// A hint holds no longer than the wait that it names, after which a slot may be free.
-func (t *Table) Full(servers []pollenlatch.Instance, class pollenlatch.Class, now time.Time) (wait time.Duration, full bool) {
+// A hint holds no longer than the wait that it names, after which a slot may be free. A
+// request whose caller has returned goes before those of its class, so that only the
+// refusal of a more urgent one counts.
+func (t *Table) Full(servers []pollenlatch.Instance, class pollenlatch.Class, returned bool, now time.Time) (wait time.Duration, full bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	elapsed := now.Sub(t.epoch)
+	refused := class
+	if returned {
+		refused--
+	}
 	for n := range servers {
 		s := t.find(&servers[n])
-		if s == nil || elapsed >= s.fullUntil || s.refused > class || s.lowest > class {
+		if s == nil || elapsed >= s.fullUntil || s.refused > refused || s.lowest > class {
 			return 0, false
 		}
 		if !full || s.wait < wait {
--- a/interfaces.go
+++ b/interfaces.go
@@ -56,6 +56,9 @@
 	Body IncomingBody
 	// Returned says that the caller was refused before and has come back.
 	Returned bool
+	// Starved says that the route is served too rarely, as the instance sees it that
+	// received the request.
+	Starved bool
 	// Adaptive says that the parts for overload apply; see hints.Applies.
 	Adaptive bool
 }
--- a/request.go
+++ b/request.go
@@ -40,6 +40,7 @@
 	Retried     bool          `protobuf:"varint,23,opt,name=repeat"`    // it was sent to a server before, or is nested in a request that was
 	LargeBody   bool          `protobuf:"varint,24,opt,name=largebody"` // the body is large
 	Returned    bool          `protobuf:"varint,25,opt,name=returned"`  // the caller was refused before and has come back
+	Starved     bool          `protobuf:"varint,27,opt,name=starved"`   // its route is served too rarely, as its first instance sees it
 	Receipt     uint64        `protobuf:"fixed64,26,opt,name=receipt"`  // identifies this attempt to its sender, which may revoke it; 0: it may not
 }
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -244,6 +244,7 @@
 		Bulk:         r.Bulk,
 		Body:         incoming.IncomingBody,
 		Returned:     r.Returned,
+		Starved:      r.Starved,
 		Adaptive:     adaptive,
 	})
 	if err != nil {
