--- a/admit/cold_test.go
+++ b/admit/cold_test.go
@@ -128,6 +128,8 @@
 		}
 	}
 	require.EqualValues(t, h.sched.paceRefused, refused)
+	require.EqualValues(t, 1, h.sched.hint(h.now).Slots, "other daemons do not learn of the pace")
+	require.Zero(t, h.sched.hint(h.now).FreeSlots)
 	h.sched.setSlots(4, 0)
 	h.sched.startWaiting(h.now)
 	require.Len(t, h.sched.running, min(4, 6-refused))
