--- a/front/hints.go
+++ b/front/hints.go
@@ -108,6 +108,9 @@
 	if !known {
 		return f
 	}
+	if p.request.LargeBody {
+		wait = max(wait, f.RetryAfter) // hints do not tell how long the body waits for the link
+	}
 	g := *f
 	g.RetryAfter = p.retryAfter(wait, now)
 	return &g
--- a/front/hints_test.go
+++ b/front/hints_test.go
@@ -164,3 +164,15 @@
 	_, after = respond(expired)
 	require.Empty(t, after)
 }
+
+// Guards against callers of uploads that are told to come back at once, since servers have
+// free slots, although the network link into them is busy: 3,020 refusals for 421 uploads
+// that were served.
+func TestRetryAfterOfLargeBodies(t *testing.T) {
+	fx := newHintFixture()
+	fx.hint = pollenlatch.ServerHint{Slots: 9, FreeSlots: 5}
+	f, _ := fx.send(t, nil)
+	require.Equal(t, minHintedRetryAfter, f.RetryAfter)
+	f, _ = fx.send(t, func(r *pollenlatch.Request) { r.LargeBody = true })
+	require.Greater(t, f.RetryAfter, 300*time.Millisecond)
+}
