--- a/front/log.go
+++ b/front/log.go
@@ -46,6 +46,10 @@
 		}
 		if t := req.Trace; t != nil {
 			pairs = append(pairs, "hops", t.Hops, "sends", t.Sends, "instance", t.Instance, "fence", t.Fence, "version", t.Version)
+			if n := t.Nested; n != nil {
+				pairs = append(pairs, "entryMs", n.Entry.Milliseconds(), "linkMs", n.Link.Milliseconds(),
+					"queueMs", n.Queue.Milliseconds(), "serverMs", n.Server.Milliseconds())
+			}
 		}
 	}
 	if suppressed > 0 {
--- a/front/router.go
+++ b/front/router.go
@@ -66,6 +66,7 @@
 	full           *metrics.Counter // requests refused because their servers are known to be full
 	fullLog        *logs.Limiter
 	shares         serviceShares
+	nestedTimes    nestedMetrics
 	throttle       throttle
 	leaving        leavingServers
 }
@@ -97,6 +98,7 @@
 		fullLog:        logs.NewLimiter(fullLinesPerSecond, fullLinesPerSecond),
 		abandoned:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_abandoned_total"),
 		ownServer:      cfg.Metrics.GetOrCreateCounter("pollenlatch_front_own_server_total"),
+		nestedTimes:    newNestedMetrics(cfg.Metrics),
 	}
 }
 
@@ -105,6 +107,7 @@
 	*Router
 	request    *pollenlatch.Request
 	body       rewindableBody // nil when there is none
+	arrival    time.Time      // set for nested requests
 	tried      pollenlatch.Set[pollenlatch.InstanceID]
 	backoff    *backoff.ExponentialBackOff
 	attempts   int
@@ -128,6 +131,9 @@
 // Handle implements pollenlatch.Handler.
 func (rt *Router) Handle(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
 	p := &pendingRequest{Router: rt, request: r}
+	if r.Nested {
+		p.arrival = time.Now()
+	}
 	switch b := r.Body.(type) {
 	case nil:
 	case rewindableBody:
@@ -416,6 +422,7 @@
 	if f := p.retryableServerError(resp); f != nil {
 		return nil, p.reportFailure(f, start)
 	}
+	p.recordNestedTimes(&resp.ResponseHead, start, time.Now())
 	if t.done != nil {
 		b := &observedBody{ReadCloser: resp.Body, done: t.done, took: time.Since(start)}
 		if resp.Status >= http.StatusInternalServerError {
--- a/request.go
+++ b/request.go
@@ -56,6 +56,15 @@
 	Instance string // of the last attempt
 	Fence    Fence
 	Version  Version // of the state by which it was routed
+	Nested   *NestedTimes
+}
+
+// NestedTimes says where a nested request with a response spent its time.
+type NestedTimes struct {
+	Entry  time.Duration // from its arrival until it was sent to a daemon for the last time
+	Link   time.Duration // between the daemons, both ways
+	Queue  time.Duration // until it had a slot
+	Server time.Duration // in its slot
 }
 
 // Request is one caller's request on its way to a server.
@@ -81,6 +90,10 @@
 	OwnerAddr string      `protobuf:"bytes,4,opt,name=owner"`    // address for callers of the daemon that served it
 	Leaving   bool        `protobuf:"varint,5,opt,name=leaving"` // the server is leaving
 	Hint      *ServerHint `protobuf:"bytes,6,opt,name=hint"`     // from the daemon beside the server; nil when it has none
+	// The following times are set for nested requests: the time until the request had a
+	// slot, and until the head of the response, at the daemon beside the server.
+	QueueTime time.Duration `protobuf:"varint,7,opt,name=queued"`
+	TotalTime time.Duration `protobuf:"varint,8,opt,name=took"`
 }
 
 // Response is a response of a server. Body returns io.EOF only after the complete
--- a/serve/log.go
+++ b/serve/log.go
@@ -9,14 +9,14 @@
 )
 
 // logLate logs a request whose response missed its latency objective, with the
-// time that it waited and ran.
-func (s *Server) logLate(r *pollenlatch.Request, waited, ran, late time.Duration) {
+// time that it waited, received its large body, and ran.
+func (s *Server) logLate(r *pollenlatch.Request, waited, received, ran, late time.Duration) {
 	suppressed, ok := s.logLimiter.Allow(false, time.Now())
 	if !ok {
 		return
 	}
 	running, waiting := s.cfg.Admitter.Load()
-	klog.InfoS("request answered late by its server", "id", r.ID, "waitMs", waited.Milliseconds(), "runMs", ran.Milliseconds(),
+	klog.InfoS("request answered late by its server", "id", r.ID, "waitMs", waited.Milliseconds(), "bodyMs", received.Milliseconds(), "runMs", ran.Milliseconds(),
 		"lateMs", late.Milliseconds(), "route", r.Route, "service", r.Service, "class", r.Class, "inner", r.Nested,
 		"running", running, "waiting", waiting, "version", s.cfg.Control.View().Version(), "suppressed", suppressed)
 }
--- a/serve/nested_test.go
+++ b/serve/nested_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"pollenlatch"
 )
 
 // A nested request that is not recognised waits behind new requests, while its
@@ -51,3 +55,26 @@
 		require.False(t, retried)
 	})
 }
+
+// Guards against nested requests whose time is attributed to the link although they waited
+// for a slot.
+func TestTimesOfNestedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, nested := range []bool{true, false} {
+			h, r := newHarness(), newRequest()
+			r.Nested = nested
+			release, err := h.admitter.Admit(t.Context(), pollenlatch.AdmitRequest{})
+			require.NoError(t, err)
+			time.AfterFunc(70*time.Millisecond, release)
+			h.exchanger.beforeCheck = func() { <-time.After(30 * time.Millisecond) }
+			resp, err := h.server.Handle(t.Context(), r)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			if nested {
+				require.Equal(t, []time.Duration{70 * time.Millisecond, 100 * time.Millisecond}, []time.Duration{resp.QueueTime, resp.TotalTime})
+			} else {
+				require.Zero(t, resp.QueueTime+resp.TotalTime)
+			}
+		}
+	})
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -147,6 +147,9 @@
 	}
 	s.meter.responses.Inc()
 	resp.OwnerAddr, resp.Hint = s.cfg.FrontAddr, s.hint(r)
+	if r.Nested {
+		resp.TotalTime = time.Since(start)
+	}
 	return resp, nil
 }
 
@@ -254,6 +257,7 @@
 	if run != nil {
 		q.Body = run.Body()
 	}
+	admitted := time.Now()
 	if f := s.receiveBody(ctx, &q, r.Body, incoming); f != nil {
 		release()
 		return nil, fail(f)
@@ -336,7 +340,10 @@
 		}
 	}
 	if now := time.Now(); !r.SoftDeadline.IsZero() && now.After(r.SoftDeadline) {
-		s.logLate(r, start.Sub(arrival), now.Sub(start), now.Sub(r.SoftDeadline))
+		s.logLate(r, admitted.Sub(arrival), start.Sub(admitted), now.Sub(start), now.Sub(r.SoftDeadline))
+	}
+	if r.Nested {
+		resp.QueueTime = start.Sub(arrival)
 	}
 	return resp, nil
 }
