--- a/pace/order.go
+++ b/pace/order.go
@@ -29,6 +29,7 @@
 // due times, and whenever one would be late it removes the longest.
 func selectFeasible[T any](transfers []T, at time.Time, duration func(T) time.Duration, due func(T) time.Time) (feasible, rest []T) {
 	slices.SortStableFunc(transfers, func(a, b T) int { return due(a).Compare(due(b)) })
+	feasible = make([]T, 0, len(transfers))
 	for _, t := range transfers {
 		feasible = append(feasible, t)
 		at = at.Add(duration(t))
