--- a/intake/queue.go
+++ b/intake/queue.go
@@ -10,8 +10,8 @@
 
 const (
 	// reservedShare is the share of the link that bodies leave to small requests, nested
-	// calls and responses. It is twice the 37 nested calls a second with 1 KB each that
-	// an instance receives beside 13 uploads a second of 60 KB on a link of 6 Mbit/s.
+	// calls and responses: 100 KB/s of a link of 6 Mbit/s. A server of deployment N receives
+	// 37 nested calls a second there; 1 KB is assumed for each, and as much for the rest.
 	reservedShare = 0.15
 	// reservedBurst is how long the reserved share is kept when it is not used.
 	reservedBurst = time.Second
--- a/serve/largebody.go
+++ b/serve/largebody.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// bodyChunkBytes is how much of a body is requested at a time. A small request waits
-	// behind one chunk at most, 22 ms on a link of 6 Mbit/s.
+	// bodyChunkBytes is how much of a body is requested at a time: 22 ms of a link of
+	// 6 Mbit/s, about half of what package intake lets be on the way.
 	bodyChunkBytes = 16 << 10
 	// maxReceivedBytes is how much of a large body is received before the request is sent
 	// to the server, so that a sender that stops in the middle occupies no server and the
