--- a/front/hints.go
+++ b/front/hints.go
@@ -102,7 +102,8 @@
 
 // withRetryAfter returns a failure because of overload with the expected wait at the best
 // server as Retry-After, if that is known. The server that refused the request may have
-// named a longer time, which accounts for more urgent requests that keep arriving.
+// named a longer time, which accounts for more urgent requests that keep arriving, and for
+// the network link that a large body waits for.
 func (p *pendingRequest) withRetryAfter(f *pollenlatch.Failure) *pollenlatch.Failure {
 	if f.Outcome != pollenlatch.OutcomeNotRun || !overloadReasons.Has(f.Reason) || !p.adaptive() {
 		return f
@@ -112,9 +113,6 @@
 	if !known {
 		return f
 	}
-	if p.request.LargeBody {
-		wait = max(wait, f.RetryAfter) // hints do not tell how long the body waits for the link
-	}
 	g := *f
 	g.RetryAfter = p.retryAfter(max(wait, f.RetryAfter), now)
 	return &g
