--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -213,12 +213,6 @@
 	return h
 }
 
-// expectedWait returns how long a request is likely to wait at the best server of a
-// service, or false when that is not known.
-func (d *Daemon) expectedWait(service string) (time.Duration, bool) {
-	return d.serverHints.Wait(d.control.View().Endpoints(service), time.Now())
-}
-
 func (d *Daemon) queueLimit(service string) int {
 	s, _ := d.control.View().Service(service)
 	return int(s.QueueLimit)
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -95,7 +95,7 @@
 	if d.cfg.Platform != nil {
 		serveCfg.ReadAheadBytes, serveCfg.MaxBufferedBytes, serveCfg.Intake = readAheadBytes, maxBufferedBytes, incoming
 		serveCfg.Adaptive = d.isAdaptive
-		serveCfg.Hint, serveCfg.ExpectedWait = d.localHint, d.expectedWait
+		serveCfg.Hint = d.localHint
 	}
 	d.serve = serve.New(serveCfg)
 	var forwardedHandler, localHandler pollenlatch.Handler = nil, d.serve
@@ -158,7 +158,7 @@
 	if p := d.cfg.Platform; p != nil {
 		frontCfg.LocalService, frontCfg.IdleTimeout, frontCfg.Pacer, frontCfg.LookupNested = p.LocalService, callerIdleTimeout, pacer, d.serve.IsNested
 		frontCfg.ConfigCurrent = d.control.HasLease
-		frontCfg.Calls, frontCfg.Adaptive = d.serve, d.isAdaptive
+		frontCfg.Adaptive = d.isAdaptive
 	} else {
 		frontCfg.Recorder = &d.events
 	}
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -26,7 +26,7 @@
 	pollenlatch.ReasonServerError: true,
 	pollenlatch.ReasonNoConfig:    true, pollenlatch.ReasonNoRoute: true, pollenlatch.ReasonNotGranted: true,
 	pollenlatch.ReasonDeadlineUnreachable: true, pollenlatch.ReasonOverloaded: true, pollenlatch.ReasonInvalidResponse: true,
-	pollenlatch.ReasonServerReplaced: true, pollenlatch.ReasonEvacuated: true, pollenlatch.ReasonCallsFailing: true,
+	pollenlatch.ReasonServerReplaced: true, pollenlatch.ReasonEvacuated: true,
 }
 
 // responseMetrics counts responses to callers and measures their times.
--- a/front/parse_routed.go
+++ b/front/parse_routed.go
@@ -78,9 +78,6 @@
 	if limit := s.maxBodyBytes(config); h.Length > limit {
 		return nil, notRunFailure(pollenlatch.ReasonTooLarge, http.StatusRequestEntityTooLarge, "body of %d bytes exceeds the limit of %d", h.Length, limit)
 	}
-	if h.Nested && s.cfg.Calls != nil {
-		req.ParentRoute = s.cfg.Calls.CallArrived(req)
-	}
 	h.Header = append(s.forwardedRoutedHeaders(r.Header), pollenlatch.Header{Name: "Host", Value: r.Host})
 	return req, nil
 }
--- a/front/parse_routed_test.go
+++ b/front/parse_routed_test.go
@@ -211,37 +211,3 @@
 	require.True(t, req.SoftDeadline.Before(now), "the objective must have passed")
 	require.Equal(t, now.Add(time.Second), req.Deadline)
 }
-
-// callLog is a CallObserver that records what it is told.
-type callLog struct{ ended []int }
-
-func (*callLog) CallArrived(r *pollenlatch.Request) string { return "parent of " + r.ID }
-
-func (l *callLog) CallEnded(r *pollenlatch.Request, status int) {
-	if r.ParentRoute == "parent of "+r.ID {
-		l.ended = append(l.ended, status)
-	}
-}
-
-// Without the results of the calls, nothing is learnt of them; a call whose sender has
-// left says nothing of the called service.
-func TestCallsAreObserved(t *testing.T) {
-	s, _ := newRoutedServer(t)
-	calls := &callLog{}
-	s.cfg.Calls = calls
-	s.cfg.LookupNested = func(id string) (nested, retried bool) { return id == "i.1", false }
-	for _, rs := range []responder{
-		{status: 200, outcome: pollenlatch.OutcomeRan},
-		{status: 503, outcome: pollenlatch.OutcomeNotRun, reason: pollenlatch.ReasonOverloaded},
-		{status: 200, outcome: pollenlatch.OutcomeUnknown, reason: pollenlatch.ReasonConnectionLost},
-		{status: 200, outcome: pollenlatch.OutcomeUnknown, reason: pollenlatch.ReasonCancelled},
-	} {
-		for _, id := range []string{"i.1", "i"} {
-			req, f := s.parseRouted(newRoutedRequest(map[string]string{"Id": id, "Left": "600"}), time.Now())
-			require.Nil(t, f)
-			rs.server, rs.request, rs.start = s, req, time.Now()
-			rs.record()
-		}
-	}
-	require.Equal(t, []int{200, 503, 502, 0}, calls.ended)
-}
--- a/front/responder.go
+++ b/front/responder.go
@@ -282,7 +282,6 @@
 	if rs.outcome == 0 { // the handler panicked
 		rs.outcome, rs.reason = pollenlatch.OutcomeUnknown, pollenlatch.ReasonConnectionLost
 	}
-	rs.endCall()
 	took := time.Since(rs.start)
 	name, class := "", pollenlatch.ClassRoutine
 	if req := rs.request; req != nil {
@@ -297,21 +296,6 @@
 	}
 }
 
-// endCall reports the end of a nested request.
-func (rs *responder) endCall() {
-	if rs.request == nil || rs.request.ParentRoute == "" || rs.server.cfg.Calls == nil {
-		return
-	}
-	status := rs.status
-	switch {
-	case rs.reason == pollenlatch.ReasonCancelled:
-		status = 0
-	case rs.outcome == pollenlatch.OutcomeUnknown: // the response was cut
-		status = http.StatusBadGateway
-	}
-	rs.server.cfg.Calls.CallEnded(rs.request, status)
-}
-
 // errorLogWriter passes net/http's own log lines on at a higher verbosity. They
 // report lost connections, which are normal.
 type errorLogWriter struct{}
--- a/front/server.go
+++ b/front/server.go
@@ -53,8 +53,6 @@
 	// ConfigCurrent reports whether this daemon has a lease, and so has heard of the
 	// newest configuration; nil is always.
 	ConfigCurrent func() bool
-	// Calls observes the nested requests; nil does not.
-	Calls CallObserver
 	// Adaptive reports whether the parts for overload apply; nil: they do not.
 	Adaptive func() bool
 	// Pacer paces large responses to callers on this instance's network link;
@@ -117,16 +115,6 @@
 	}
 }
 
-// CallObserver observes the requests that the local server sends while it runs others.
-type CallObserver interface {
-	// CallArrived returns the route of the request that the server runs, or "" when it
-	// is not known.
-	CallArrived(r *pollenlatch.Request) (parentRoute string)
-	// CallEnded is called when a request with a ParentRoute has ended. status is that of
-	// the response; 0 when it was aborted.
-	CallEnded(r *pollenlatch.Request, status int)
-}
-
 // Server serves requests of callers over HTTP/1.1. It is an http.Handler.
 type Server struct {
 	cfg         Config
--- a/outcome.go
+++ b/outcome.go
@@ -57,7 +57,6 @@
 	ReasonNotGranted          Reason = "moving"      // the server does not hold the grant of the key yet, or no longer
 	ReasonDeadlineUnreachable Reason = "hopeless"    // the response could not arrive before the deadline
 	ReasonOverloaded          Reason = "overloaded"  // more urgent or earlier requests take all slots
-	ReasonCallsFailing        Reason = "calls"       // the calls that its run would make are likely to fail
 	ReasonServerReplaced      Reason = "replaced"    // another server has taken over the address
 	ReasonQuarantined         Reason = "quarantined" // several servers have ended under the same request
 	ReasonEvacuated           Reason = "evacuated"   // the data centre of the server is evacuated
--- a/request.go
+++ b/request.go
@@ -78,9 +78,6 @@
 	// as that is known. SoftDeadline accounts for it.
 	Waited time.Duration
 	Body   io.Reader // nil when there is none
-	// ParentRoute is the route of the request that the local server runs while it sends
-	// this one; empty when that is not known.
-	ParentRoute string
 }
 
 // ResponseHead is a response of a server without its body.
--- a/serve/meter.go
+++ b/serve/meter.go
@@ -37,7 +37,6 @@
 	bodySeconds     *metrics.Histogram
 	bodiesRefused   *metrics.Counter
 	bodiesFailed    *metrics.Counter
-	callsRefused    *metrics.Counter // requests refused because their calls are likely to fail
 
 	mu        sync.Mutex
 	since     time.Time
@@ -61,7 +60,6 @@
 		bodySeconds:     cfg.Metrics.GetOrCreateHistogram("pollenlatch_serve_body_seconds"),
 		bodiesRefused:   cfg.Metrics.GetOrCreateCounter("pollenlatch_serve_bodies_refused_total"),
 		bodiesFailed:    cfg.Metrics.GetOrCreateCounter("pollenlatch_serve_bodies_failed_total"),
-		callsRefused:    cfg.Metrics.GetOrCreateCounter("pollenlatch_serve_calls_refused_total"),
 		since:           time.Now(),
 		latencies:       histogram.NewFast(),
 	}
--- a/serve/nested.go
+++ b/serve/nested.go
@@ -18,18 +18,16 @@
 type activeRequest struct {
 	exchanges int  // exchanges in progress with its ID
 	retried   bool // one of them was sent to a server before
-	route     string
-	called    bool // it has sent a nested request
 }
 
-func (a *activeRequests) begin(id, route string, retried bool) {
+func (a *activeRequests) begin(id string, retried bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.byID == nil {
 		a.byID = make(map[string]activeRequest)
 	}
 	p := a.byID[id]
-	a.byID[id] = activeRequest{exchanges: p.exchanges + 1, retried: p.retried || retried, route: route, called: p.called}
+	a.byID[id] = activeRequest{p.exchanges + 1, p.retried || retried}
 }
 
 func (a *activeRequests) end(id string) {
@@ -56,22 +54,6 @@
 	return false, false
 }
 
-// recordCall returns the route of the active request that sent a nested one, and whether
-// it is the first that it has sent.
-func (a *activeRequests) recordCall(id string) (route string, first bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for parentID, p := range a.byID {
-		if extendsID(id, parentID) {
-			first = !p.called
-			p.called = true
-			a.byID[parentID] = p
-			return p.route, first
-		}
-	}
-	return "", false
-}
-
 // extendsID reports whether an ID consists of a parent's ID, a separator and a
 // suffix. Without the separator, request 123 would count as nested in request 12.
 func extendsID(id, parentID string) bool {
--- a/serve/nested_test.go
+++ b/serve/nested_test.go
@@ -28,7 +28,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			var a activeRequests
-			a.begin(tt.running, "r", false)
+			a.begin(tt.running, false)
 			nested, _ := a.isNested(tt.id)
 			require.Equal(t, tt.want, nested)
 			a.end(tt.running)
@@ -38,8 +38,8 @@
 	}
 	t.Run("two exchanges with one ID", func(t *testing.T) {
 		var a activeRequests
-		a.begin("a", "r", false)
-		a.begin("a", "r", true)
+		a.begin("a", false)
+		a.begin("a", true)
 		a.end("a")
 		nested, retried := a.isNested("a.1")
 		require.True(t, nested)
@@ -47,8 +47,8 @@
 	})
 	t.Run("nested in a retry", func(t *testing.T) {
 		var a activeRequests
-		a.begin("a", "r", true)
-		a.begin("b", "r", false)
+		a.begin("a", true)
+		a.begin("b", false)
 		_, retried := a.isNested("a.1")
 		require.True(t, retried)
 		_, retried = a.isNested("b.1")
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -11,7 +11,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"pollenlatch"
-	"pollenlatch/calls"
 	"pollenlatch/crash"
 	"pollenlatch/dedup"
 	"pollenlatch/logs"
@@ -54,9 +53,6 @@
 	// Hint returns what other daemons need to know of the load of the local server; nil:
 	// they are told nothing.
 	Hint func() *pollenlatch.ServerHint
-	// ExpectedWait returns how long a nested call is likely to wait at the best server of
-	// a service, or false when that is not known; nil: it never is.
-	ExpectedWait func(service string) (time.Duration, bool)
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
 	// is passed on; 0 disables buffering.
 	ReadAheadBytes int
@@ -93,7 +89,6 @@
 	logLimiter *logs.RequestLimiter
 
 	active   activeRequests
-	forecast calls.Forecast
 	buffered readAheadBudget
 }
 
@@ -117,9 +112,6 @@
 	if cfg.Adaptive == nil {
 		cfg.Adaptive = func() bool { return false }
 	}
-	if cfg.ExpectedWait == nil {
-		cfg.ExpectedWait = func(string) (time.Duration, bool) { return 0, false }
-	}
 	s := &Server{cfg: cfg, meter: newMeter(cfg), logLimiter: logs.NewRequestLimiter()}
 	s.buffered.limit = cfg.MaxBufferedBytes
 	cfg.Metrics.GetOrCreateGauge("pollenlatch_serve_buffered_bytes", func() float64 { return float64(s.buffered.used.Load()) })
@@ -229,11 +221,6 @@
 		}
 	}
 	adaptive := s.cfg.Adaptive()
-	if adaptive {
-		if f := s.checkCalls(r, time.Now()); f != nil {
-			return nil, fail(f)
-		}
-	}
 	incoming := s.beginBody(r)
 	defer incoming.End(false)
 	release, err := s.cfg.Admitter.Admit(ctx, pollenlatch.AdmitRequest{
@@ -355,11 +342,8 @@
 // exchange sends a request to the server. The request is active until its response
 // begins, because a server waits for its nested requests before it responds.
 func (s *Server) exchange(ctx context.Context, r *pollenlatch.Request, check func() error) (*pollenlatch.Response, error) {
-	s.active.begin(r.ID, r.Route, r.Retried)
+	s.active.begin(r.ID, r.Retried)
 	defer s.active.end(r.ID)
-	if r.Routed() && s.cfg.Adaptive() {
-		s.forecast.RecordRun(r.Route, time.Now())
-	}
 	return s.cfg.Exchanger.Exchange(ctx, r, check)
 }
 
