--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -19,6 +19,7 @@
 	exitUsage     = 2
 	exitRetry     = 3 // no response, or no decision in time: the same command may be run again
 	exitForbidden = 4 // the token is invalid, or does not allow the operation
+	exitWarnings  = 5 // a check found warnings and no errors; 3 would make scripts run it again
 )
 
 // exitError is an error with the exit code that it leads to.
@@ -58,6 +59,7 @@
 
 var commands = []command{
 	checkCommand,
+	checkConfigCommand,
 	explainCommand,
 	applyCommand,
 	showCommand,
@@ -160,6 +162,6 @@
 			_, _ = fmt.Fprintf(w, "  %-14s %s\n", c.name, c.summary)
 		}
 	}
-	_, _ = fmt.Fprintf(w, "\nexit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 no answer (run it again), 4 not allowed\n")
+	_, _ = fmt.Fprintf(w, "\nexit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 no answer (run it again), 4 not allowed, 5 warnings\n")
 	_, _ = fmt.Fprintf(w, "pollenlatch COMMAND --help tells more of one command\n")
 }
--- a/cmd/flags.go
+++ b/cmd/flags.go
@@ -22,6 +22,7 @@
 	parser      *flaggy.Parser
 	help        []string
 	positionals []*string
+	required    int // positionals that must be given
 }
 
 // stdinFile replaces the argument "-", which flaggy would parse as a flag.
@@ -63,6 +64,13 @@
 
 // positionalVar declares the next positional argument, which is required.
 func (f *flags) positionalVar(v *string, name string) {
+	f.optionalVar(v, name)
+	f.required = len(f.positionals)
+}
+
+// optionalVar declares the next positional argument, which may be missing. Required
+// ones come first.
+func (f *flags) optionalVar(v *string, name string) {
 	f.positionals = append(f.positionals, v)
 	f.parser.AddPositionalValue(v, name, len(f.positionals), false, "")
 }
@@ -137,8 +145,9 @@
 	for i, p := range f.parser.PositionalFlags {
 		switch {
 		case p.Found:
-		case len(rest) == 0:
+		case len(rest) == 0 && i < f.required:
 			return usageError(p.Name + " is missing")
+		case len(rest) == 0:
 		default:
 			*f.positionals[i], rest = rest[0], rest[1:]
 		}
