--- a/ramp/ramp.go
+++ b/ramp/ramp.go
@@ -13,7 +13,9 @@
 	// test, a quarter costs callers of keyed requests 4 points more of responses on time
 	// at a server that is merely half as fast.
 	startShare = 0.5
-	// floorShare is the share of the slots below which the limit does not fall.
+	// floorShare is the share of the slots below which the limit does not fall after
+	// failures and refusals. A late response alone does not lower it below startShare:
+	// runs are also late because of their nested calls, or of neighbours of the server.
 	floorShare = 0.25
 	// fallFactor is by how much the limit falls when a response misses its objective.
 	fallFactor = 0.7
@@ -31,8 +33,9 @@
 	// for a ramp.
 	minMovedShare = 0.1
 	// maxColdTimes limits a ramp, as a multiple of the time for which servers are cold
-	// after a start: a server that is too slow at any load must not be left idle.
-	maxColdTimes = 4
+	// after a start: a server that is too slow, or that fails, at any load must not be
+	// left idle.
+	maxColdTimes = 1
 	// objectiveDecay is the weight that an earlier objective of a route keeps when a
 	// request with less time arrives. Requests that were forwarded have less left.
 	objectiveDecay = 0.99
@@ -58,7 +61,7 @@
 	active     bool
 	allowed    float64   // requests at a time, while active
 	caution    float64   // above it the limit rises slowly
-	begunAt    time.Time // start of the ramp, or its last failure
+	begunAt    time.Time // start of the ramp
 	fellAt     time.Time // last fall of allowed
 	fullAt     time.Time // when allowed reached the slots; zero before
 	failures   int       // in a row
@@ -135,12 +138,13 @@
 			l.failures = 0
 		}
 		if l.active {
-			l.begunAt = now
-			l.fall(r, now)
+			l.fall(r, floorShare, now)
 		}
 	case !l.active:
-	case r.Refused || !l.meetsObjective(r):
-		l.fall(r, now)
+	case r.Refused:
+		l.fall(r, floorShare, now)
+	case !l.meetsObjective(r):
+		l.fall(r, floorShare, now)
 	case !l.fullAt.IsZero() && !r.StartedAt.Before(l.fullAt):
 		l.active = false // it meets the objective with all its slots in use
 	default:
@@ -169,13 +173,14 @@
 	}
 }
 
-// fall lowers the limit, at most once for the runs that were in progress at the last
-// fall, since these say nothing about the lower limit.
-func (l *Limit) fall(r Run, now time.Time) {
+// fall lowers the limit, but not below a share of the slots. It does so at most once for
+// the runs that were in progress at the last fall, since these say nothing about the
+// lower limit.
+func (l *Limit) fall(r Run, floorShare float64, now time.Time) {
 	if r.StartedAt.Before(l.fellAt) {
 		return
 	}
-	floor := max(1, floorShare*float64(l.slots))
+	floor := min(l.allowed, max(1, floorShare*float64(l.slots)))
 	l.allowed, l.fellAt = max(floor, fallFactor*l.allowed), now
 	l.caution, l.fullAt = l.allowed, time.Time{}
 }
