--- a/ramp/ramp.go
+++ b/ramp/ramp.go
@@ -13,9 +13,7 @@
 	// test, a quarter costs callers of keyed requests 4 points more of responses on time
 	// at a server that is merely half as fast.
 	startShare = 0.5
-	// floorShare is the share of the slots below which the limit does not fall after
-	// failures and refusals. A late response alone does not lower it below startShare:
-	// runs are also late because of their nested calls, or of neighbours of the server.
+	// floorShare is the share of the slots below which the limit does not fall.
 	floorShare = 0.25
 	// fallFactor is by how much the limit falls when a response misses its objective.
 	fallFactor = 0.7
@@ -26,9 +24,11 @@
 	// objectiveShare is the share of the objective within which the server must respond.
 	// The rest is for the hop between the daemons and for the queue.
 	objectiveShare = 0.8
-	// failuresInRow is the number of failures in a row after which a server must
-	// recover. Single failures occur at any server.
+	// failuresInRow is the number of failures in a row, and minOutage the time without
+	// another response, after which a server must recover. A server that loses some of its
+	// responses has several failures in a row as well, and is not flooded.
 	failuresInRow = 3
+	minOutage     = 500 * time.Millisecond
 	// minMovedShare is the share of the ranges of a server that must have moved to it
 	// for a ramp.
 	minMovedShare = 0.1
@@ -56,16 +56,17 @@
 // Limit is the limit of one server. The zero value has none. It takes the time as an
 // argument, and its callers must lock it.
 type Limit struct {
-	slots      int
-	coldTime   time.Duration
-	active     bool
-	allowed    float64   // requests at a time, while active
-	caution    float64   // above it the limit rises slowly
-	begunAt    time.Time // start of the ramp
-	fellAt     time.Time // last fall of allowed
-	fullAt     time.Time // when allowed reached the slots; zero before
-	failures   int       // in a row
-	objectives map[string]time.Duration
+	slots       int
+	coldTime    time.Duration
+	active      bool
+	allowed     float64   // requests at a time, while active
+	caution     float64   // above it the limit rises slowly
+	begunAt     time.Time // start of the ramp
+	fellAt      time.Time // last fall of allowed
+	fullAt      time.Time // when allowed reached the slots; zero before
+	failures    int       // in a row
+	respondedAt time.Time // last response
+	objectives  map[string]time.Duration
 }
 
 // SetServer sets the slots of the server, and how long servers of the service are cold
@@ -129,22 +130,19 @@
 // that is too low would lower itself.
 func (l *Limit) Observe(r Run, now time.Time) {
 	if !r.Failed {
-		l.failures = 0
+		l.failures, l.respondedAt = 0, now
 	}
 	switch {
 	case r.Failed:
-		if l.failures++; l.failures >= failuresInRow {
-			l.Begin(0, now)
-			l.failures = 0
+		if l.failures++; l.failures < failuresInRow || now.Sub(l.respondedAt) < minOutage {
+			break
 		}
-		if l.active {
-			l.fall(r, floorShare, now)
+		if l.Begin(0, now); l.active {
+			l.fall(r, now)
 		}
 	case !l.active:
-	case r.Refused:
-		l.fall(r, floorShare, now)
-	case !l.meetsObjective(r):
-		l.fall(r, floorShare, now)
+	case r.Refused || !l.meetsObjective(r):
+		l.fall(r, now)
 	case !l.fullAt.IsZero() && !r.StartedAt.Before(l.fullAt):
 		l.active = false // it meets the objective with all its slots in use
 	default:
@@ -173,14 +171,13 @@
 	}
 }
 
-// fall lowers the limit, but not below a share of the slots. It does so at most once for
-// the runs that were in progress at the last fall, since these say nothing about the
-// lower limit.
-func (l *Limit) fall(r Run, floorShare float64, now time.Time) {
+// fall lowers the limit, at most once for the runs that were in progress at the last
+// fall, since these say nothing about the lower limit.
+func (l *Limit) fall(r Run, now time.Time) {
 	if r.StartedAt.Before(l.fellAt) {
 		return
 	}
-	floor := min(l.allowed, max(1, floorShare*float64(l.slots)))
+	floor := max(1, floorShare*float64(l.slots))
 	l.allowed, l.fellAt = max(floor, fallFactor*l.allowed), now
 	l.caution, l.fullAt = l.allowed, time.Time{}
 }
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -161,3 +161,27 @@
 		l.Observe(Run{Route: "r", StartedAt: now, Took: time.Millisecond, InFlight: 4}, now)
 	}
 }
+
+// A server that loses some of its responses has failures in a row too. It is not flooded,
+// and a lower limit would refuse requests that it can run. One that gives no response for
+// a while must recover.
+func TestFailuresBetweenResponses(t *testing.T) {
+	newLimit := func() *Limit {
+		var l Limit
+		l.SetServer(testSlots, simColdTime)
+		l.Arrive("r", simObjective)
+		return &l
+	}
+	l := newLimit()
+	for ms := 0; ms < 4000; ms += 40 {
+		failed := ms%400 >= 240 // four of ten, in a row
+		l.Observe(Run{Route: "r", StartedAt: at(ms), Took: 100 * time.Millisecond, Failed: failed, InFlight: 4}, at(ms+100))
+		require.False(t, l.Active(), "at %d ms", ms)
+	}
+	l = newLimit()
+	l.Observe(Run{Route: "r", StartedAt: at(0), Took: 100 * time.Millisecond}, at(100))
+	for ms := 100; ms < 800; ms += 40 {
+		l.Observe(Run{Route: "r", StartedAt: at(ms), Failed: true}, at(ms+10))
+	}
+	require.True(t, l.Active())
+}
