--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -112,7 +112,8 @@
 	endpointKnown   bool
 	limit           quota.Monitor // of the local server
 	crashes         crash.Monitor
-	gauge           gauge.Gauge // load of the local server
+	gauge           gauge.Gauge   // load of the local server
+	failing         gauge.Failing // of the local server
 	adaptive        hints.Condition
 	serverHints     hints.Table // of the daemons beside other servers
 	recordTransfers pendingCalls[bool]
--- a/daemon/localserver.go
+++ b/daemon/localserver.go
@@ -8,6 +8,7 @@
 
 	"pollenlatch"
 	"pollenlatch/admit"
+	"pollenlatch/logs"
 	"pollenlatch/quota"
 )
 
@@ -49,6 +50,7 @@
 	if !d.endpointKnown || e.Incarnation != d.endpoint.Incarnation {
 		d.restoreLimitLocked(e.Limit)
 		d.gauge.Reset()
+		d.failing.Reset()
 	}
 	if a, ok := d.admitter.(drainingAdmitter); ok && e.Draining && (!d.endpoint.Draining || d.endpoint.Incarnation != e.Incarnation) {
 		time.AfterFunc(pollenlatch.DrainGrace, func() {
@@ -201,6 +203,26 @@
 	return d.isAdaptive
 }
 
+// localServerFull reports whether more requests are at the local server than it has slots.
+// Refusals by a cold server are its limit.
+func (d *Daemon) localServerFull() bool {
+	e, _ := d.localServer()
+	running, _ := d.admitter.Load()
+	return e.Cold || running > d.gauge.Slots(int(e.Slots), time.Now())
+}
+
+// newEjectionReporter returns a function that logs and counts the servers that are avoided
+// because of the hints of the daemons beside them.
+func (d *Daemon) newEjectionReporter() func(pollenlatch.Instance, uint32) {
+	limiter, ejected := logs.NewLimiter(1, 10), d.metrics.GetOrCreateCounter("pollenlatch_pick_ejected_by_hint_total")
+	return func(i pollenlatch.Instance, failing uint32) {
+		ejected.Inc()
+		if suppressed, ok := limiter.Allow(time.Now()); ok {
+			klog.InfoS("server is avoided because it fails most requests", "instance", i.Name, "failingPercent", failing, "suppressed", suppressed)
+		}
+	}
+}
+
 // localHint returns what other daemons need to know of the load of the local server.
 func (d *Daemon) localHint() *pollenlatch.ServerHint {
 	scheduler, ok := d.admitter.(*admit.Scheduler)
@@ -209,7 +231,7 @@
 	}
 	h := scheduler.Hint()
 	e, _ := d.localServer()
-	h.Slowness, h.Cold = d.gauge.Slowness(time.Now()), e.Cold
+	h.Slowness, h.Cold, h.Failing = d.gauge.Slowness(time.Now()), e.Cold, d.failing.Percent(time.Now())
 	return h
 }
 
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -95,7 +95,7 @@
 	if d.cfg.Platform != nil {
 		serveCfg.ReadAheadBytes, serveCfg.MaxBufferedBytes, serveCfg.Intake = readAheadBytes, maxBufferedBytes, incoming
 		serveCfg.Adaptive = d.isAdaptive
-		serveCfg.Hint = d.localHint
+		serveCfg.Hint, serveCfg.Failing, serveCfg.Full = d.localHint, &d.failing, d.localServerFull
 	}
 	d.serve = serve.New(serveCfg)
 	var forwardedHandler, localHandler pollenlatch.Handler = nil, d.serve
@@ -142,7 +142,10 @@
 		return nil
 	}
 	routerCfg := front.RouterConfig{
-		Control: &d.control, Local: localHandler, Forwarder: node, Picker: pick.New(pick.Config{LocalServer: d.localFreeSlots, ColdRate: d.coldRate, Paced: d.isPaced}), DC: d.cfg.DC, Metrics: d.metrics,
+		Control: &d.control, Local: localHandler, Forwarder: node, DC: d.cfg.DC, Metrics: d.metrics,
+		Picker: pick.New(pick.Config{
+			LocalServer: d.localFreeSlots, ColdRate: d.coldRate, Paced: d.isPaced, EjectedByHint: d.newEjectionReporter(),
+		}),
 		Evacuated: d.evacuation.Refuses,
 	}
 	if p := d.cfg.Platform; p != nil {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -102,6 +102,7 @@
 	})
 	d.metrics.GetOrCreateGauge("pollenlatch_gauge_other_requests", func() float64 { return float64(d.gauge.Others(time.Now())) })
 	d.metrics.GetOrCreateGauge("pollenlatch_gauge_silent_total", func() float64 { return float64(d.gauge.Silent()) })
+	d.metrics.GetOrCreateGauge("pollenlatch_gauge_failing", func() float64 { return float64(d.failing.Percent(time.Now())) / 100 })
 	d.metrics.GetOrCreateGauge("pollenlatch_link_backlog_seconds", func() float64 { return pacer.Backlog().Seconds() })
 }
 
--- a/hint.go
+++ b/hint.go
@@ -22,4 +22,7 @@
 	// RefusedClass is the most urgent class of which the daemon has just refused a request
 	// for lack of slots, although the request could still have met its objective; 0 is none.
 	RefusedClass Class `protobuf:"varint,8,opt,name=refused"`
+	// Failing is the share of the recent exchanges that failed through the server's fault,
+	// in percent; 0 after too few.
+	Failing uint32 `protobuf:"varint,9,opt,name=failing"`
 }
--- a/pick/hint.go
+++ b/pick/hint.go
@@ -17,6 +17,8 @@
 	// maxCompared is the number of endpoints that are compared for a request that goes to
 	// the one with the most room. More would not find a much better one.
 	maxCompared = 12
+	// maxFailing is the maximum share of failures that raises the cost of an endpoint.
+	maxFailing = 0.95
 )
 
 // hint is what the daemon beside an endpoint has said of it.
@@ -30,9 +32,66 @@
 func (p *Picker) Observe(id pollenlatch.InstanceID, h pollenlatch.ServerHint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e := p.endpoints[id]; e != nil {
-		e.hint = hint{ServerHint: h, at: p.cfg.Clock.Now()}
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	now := p.cfg.Clock.Now()
+	e.hint = hint{ServerHint: h, at: now}
+	if float64(h.Failing) >= 100*ejectFailureShare {
+		p.ejectFailing(e, now)
+	}
+}
+
+// ejectFailing excludes an endpoint that fails most requests until the hint no longer
+// counts. When more than one in maxEjectedDivisor of the endpoints with a new hint fail,
+// the cause is more likely elsewhere, and none stays excluded because of its hint. Only
+// endpoints that are found by the index are excluded; iterating over the map takes three times as long.
+func (p *Picker) ejectFailing(e *endpoint, now pollenlatch.MonoTime) {
+	if int(e.instance.ID) >= len(p.index) {
+		return
+	}
+	hinted, failing, ejected, all := 0, 0, 0, 0
+	for _, o := range p.index {
+		if o == nil || o.lastCandidate < now.Add(-endpointExpiry) || o.instance.Endpoint == nil || !sameService(o, e) {
+			continue
+		}
+		all++
+		if o != e && o.ejectedUntil > now {
+			ejected++
+		}
+		if o.hint.weight(now) > 0 {
+			hinted++
+			if float64(o.hint.Failing) >= 100*ejectFailureShare {
+				failing++
+			}
+		}
+	}
+	if failing*maxEjectedDivisor > hinted {
+		for _, o := range p.index {
+			if o != nil && o.ejectedByHint && o.instance.Endpoint != nil && sameService(o, e) {
+				o.ejectedUntil, o.ejectedByHint = now, false
+			}
+		}
+		return
+	}
+	if until := now.Add(hintAge); (ejected+1)*maxEjectedDivisor <= all && until > e.ejectedUntil {
+		if e.ejectedUntil <= now && p.cfg.EjectedByHint != nil {
+			p.cfg.EjectedByHint(e.instance, e.hint.Failing)
+		}
+		e.ejectedUntil, e.ejectedByHint = until, true
+	}
+}
+
+// attempts returns how many requests an endpoint takes for each that succeeds, by its hint.
+// It counts for hintAge, and less and less for as long again: to a daemon that no longer
+// knows it, a server that fails at once looks like one with free slots.
+func (h *hint) attempts(now pollenlatch.MonoTime) float64 {
+	if h.Failing == 0 {
+		return 1
 	}
+	weight := min(1, max(0, 2-float64(now.Sub(h.at))/float64(hintAge)))
+	return 1 / (1 - weight*min(float64(h.Failing)/100, maxFailing))
 }
 
 // weight returns the weight of a hint, from 1 for a new one to 0.
--- a/pick/picker.go
+++ b/pick/picker.go
@@ -84,6 +84,9 @@
 	// Paced reports whether the daemons beside the servers of a service keep their pace
 	// after a start or recovery. They have no warm-up by time then. nil: none do.
 	Paced func(service string) bool
+	// EjectedByHint is called when an endpoint is ejected because the daemon beside it says
+	// which percentage of its requests fails. It must not block. nil: nothing is called.
+	EjectedByHint func(i pollenlatch.Instance, failing uint32)
 }
 
 // Picker implements pollenlatch.Picker with statistics of this daemon alone. It
@@ -148,6 +151,7 @@
 	overloadedUntil pollenlatch.MonoTime // it refused a request because of overload
 	coldUntil       pollenlatch.MonoTime // end of the warm-up
 	ejectedUntil    pollenlatch.MonoTime
+	ejectedByHint   bool    // and not because of this daemon's own results
 	ejections       int     // ejections in a row
 	coldRate        float64 // requests a second that the server gets while it is cold; 0 when it is not
 	hint            hint
@@ -227,6 +231,8 @@
 	}
 	localLatency, _ := p.estimate(local, now)
 	otherLatency, _ := p.estimate(other, now)
+	localLatency *= local.hint.attempts(now)
+	otherLatency *= other.hint.attempts(now)
 	return now >= local.overloadedUntil && localLatency <= localServerFactor*otherLatency
 }
 
@@ -237,7 +243,7 @@
 	if w := e.hint.weight(now); w > 0 {
 		cost += w * (e.hintedCost(latency) - cost)
 	}
-	return cost
+	return cost * e.hint.attempts(now)
 }
 
 // shouldSpill reports whether an endpoint in this data centre is so much more
@@ -245,6 +251,9 @@
 // of the slots of an endpoint is added to the requests ahead, so that a few
 // requests do not tip the balance.
 func (p *Picker) shouldSpill(near, far *endpoint, now pollenlatch.MonoTime) bool {
+	if near.hint.attempts(now) > spilloverFactor*far.hint.attempts(now) {
+		return true
+	}
 	if spill, known := p.spillByHint(near, far, now); known {
 		return spill
 	}
@@ -439,7 +448,7 @@
 		e.overloadedUntil = now.Add(overloadPenalty)
 	case signalBad:
 		e.countResult(1)
-		if e.results >= recentResults/2 && e.failureShare >= ejectFailureShare && e.ejectedUntil <= now {
+		if e.results >= recentResults/2 && e.failureShare >= ejectFailureShare && (e.ejectedUntil <= now || e.ejectedByHint) {
 			p.eject(e, now)
 		}
 	case signalNone:
@@ -484,7 +493,7 @@
 	}
 	d := min(p.cfg.MaxEjectionTime, p.cfg.BaseEjectionTime<<min(e.ejections, 16))
 	e.ejections++
-	e.ejectedUntil = now.Add(d)
+	e.ejectedUntil, e.ejectedByHint = now.Add(d), false
 	e.coldUntil = e.ejectedUntil.Add(p.warmUp(&e.instance))
 	e.results, e.failureShare = 0, 0
 }
--- a/serve/meter.go
+++ b/serve/meter.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// recordFailing records a failure in Config.Failing, unless it says nothing about the server: the
+// caller left, the deadline passed, or this daemon or a full server refused the request.
+func (s *Server) recordFailing(f *pollenlatch.Failure) {
+	switch f.Reason {
+	case pollenlatch.ReasonUnreachable, pollenlatch.ReasonConnectionLost, pollenlatch.ReasonInvalidResponse:
+	case pollenlatch.ReasonQueueFull:
+		if !f.Sent || s.cfg.Full() {
+			return
+		}
+	default:
+		return
+	}
+	s.cfg.Failing.Record(true, time.Now())
+}
+
 // Observe returns the observation since the last call and resets it.
 func (s *Server) Observe() Observation {
 	m := s.meter
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -13,6 +13,7 @@
 	"pollenlatch"
 	"pollenlatch/crash"
 	"pollenlatch/dedup"
+	"pollenlatch/gauge"
 	"pollenlatch/logs"
 )
 
@@ -53,6 +54,11 @@
 	// Hint returns what other daemons need to know of the load of the local server; nil:
 	// they are told nothing.
 	Hint func() *pollenlatch.ServerHint
+	// Failing estimates which share of the exchanges fails; nil: nobody uses it.
+	Failing *gauge.Failing
+	// Full reports whether more requests are at the local server, by this daemon's count,
+	// than it has slots; nil: a refusal by the server never counts as its fault.
+	Full func() bool
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
 	// is passed on; 0 disables buffering.
 	ReadAheadBytes int
@@ -109,6 +115,12 @@
 	if cfg.ReportCleared == nil {
 		cfg.ReportCleared = func(pollenlatch.Fingerprint) {}
 	}
+	if cfg.Failing == nil {
+		cfg.Failing = new(gauge.Failing)
+	}
+	if cfg.Full == nil {
+		cfg.Full = func() bool { return true }
+	}
 	if cfg.Adaptive == nil {
 		cfg.Adaptive = func() bool { return false }
 	}
@@ -311,6 +323,7 @@
 		failure = f
 		notRun = f.Outcome == pollenlatch.OutcomeNotRun
 		s.recordServerFailure(f)
+		s.recordFailing(f)
 		s.reportRefusal(r, f)
 		return nil, f
 	}
@@ -324,9 +337,11 @@
 	if s.cfg.ReadAheadBytes > 0 && r.Method != http.MethodHead {
 		if resp, err = s.buffered.readAhead(resp, s.cfg.ReadAheadBytes); err != nil {
 			failure = s.truncated(err)
+			s.recordFailing(failure)
 			return nil, failure
 		}
 	}
+	s.cfg.Failing.Record(false, time.Now())
 	if now := time.Now(); !r.SoftDeadline.IsZero() && now.After(r.SoftDeadline) {
 		s.logLate(r, admitted.Sub(arrival), start.Sub(admitted), now.Sub(start), now.Sub(r.SoftDeadline))
 	}
