--- /dev/null
+++ b/review/standin2/main.go
@@ -0,0 +1,36 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+var cases = map[string]func(w *world) bool{}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Println("usage: standin2 CASE FOLDER")
+		os.Exit(2)
+	}
+	w := newWorld(os.Args[2])
+	broken := cases[os.Args[1]](w)
+	if broken {
+		w.note("the rule was broken")
+	} else {
+		w.note("the rule held")
+	}
+	w.close()
+	if broken {
+		fmt.Println("broken")
+		os.Exit(1)
+	}
+	fmt.Println("held")
+}
+
+type notReady struct{}
+
+func (notReady) Error() string { return "the deployment did not get ready" }
+
+var errNotReady = notReady{}
