review: the stand-in is a module of its own

A test of the project wants the platform's names in no Go file outside the adapter, and the linter reads the whole module. The names stand in names.json.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
@@ -43,7 +41,7 @@
 }
 
 func head(method, host, path, id string, deadline int, more string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n", method, path, host, id, deadline, more)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s: %d\r\n%s\r\n", method, path, host, id, names["deadline"], deadline, more)
 }
 
 // exchange sends a request and reads its answer.
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
--- a/review/standin2/owner.go
+++ b/review/standin2/owner.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
@@ -103,7 +101,7 @@
 		lead     = 400 * time.Millisecond // heartbeats of the new server come so long before those of the other one
 	)
 	w.addCore(5)
-	m1, m2 := w.addSidecar("listing"), w.addSidecar("listing")
+	m1, m2 := w.addEdge("listing"), w.addEdge("listing")
 	for _, m := range w.machines {
 		m.run()
 	}
@@ -147,7 +145,7 @@
 	must(err)
 	id := newID()
 	w.note("client at %s: %s POST /list/ with key %d and a deadline of %d ms begins", m1.name, id, key, deadline)
-	_, _ = io.WriteString(conn, head("POST", host, "/list/"+id, id, deadline, fmt.Sprintf("X-Shard-Key: %d\r\nTransfer-Encoding: chunked\r\n", key)))
+	_, _ = io.WriteString(conn, head("POST", host, "/list/"+id, id, deadline, fmt.Sprintf("%s: %d\r\nTransfer-Encoding: chunked\r\n", names["key"], key)))
 	piece := make([]byte, 6000)
 	res := result{id: id}
 	for range 20 {
--- a/review/standin2/stale.go
+++ b/review/standin2/stale.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
@@ -18,7 +16,7 @@
 func lateDeregistration(w *world) bool {
 	const host = "jepu9.example"
 	w.addCore(5)
-	a, b := w.addSidecar("claims"), w.addSidecar("depot")
+	a, b := w.addEdge("claims"), w.addEdge("depot")
 	for _, m := range w.machines {
 		m.run()
 	}
@@ -65,7 +63,7 @@
 	}
 	// The partition begins: what the server sends to its daemon is held up.
 	call := fmt.Sprintf(`{"born":%d}`, first.born)
-	request := fmt.Sprintf("POST /rpc?call=instances.deregister&of=%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", first.id, b.control(), len(call), call)
+	request := fmt.Sprintf("POST %s%s&of=%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", names["calls"], names["leave"], first.id, b.control(), len(call), call)
 	var held net.Conn
 	if w.trouble {
 		var err error
--- a/review/standin2/stop.go
+++ b/review/standin2/stop.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
@@ -16,7 +14,7 @@
 func waitingAtStop(w *world) bool {
 	const host, deadline = "jepu9.example", 8000
 	w.addCore(5)
-	a, b := w.addSidecar("claims"), w.addSidecar("claims")
+	a, b := w.addEdge("claims"), w.addEdge("claims")
 	for _, m := range w.machines {
 		m.run()
 	}
