--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -68,8 +68,10 @@
 	must(err)
 	program, err := filepath.Abs("target/pollenlatch")
 	must(err)
-	w := &world{dir: dir, program: program, record: rec, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
-		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	w := &world{
+		dir: dir, program: program, record: rec, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
+		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
 	w.subnet = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+(os.Getpid()/200)%250)
 	used := map[int]bool{}
 	for _, p := range []*int{&w.ports.out, &w.ports.ready, &w.ports.control, &w.ports.link, &w.ports.metrics, &w.ports.app} {
