--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,8 +1,18 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"time"
+)
+
+// maxTime limits a case.
+const maxTime = 110 * time.Second
+
+var (
+	errTooLong  = errors.New("the case takes too long")
+	errNotReady = errors.New("the deployment did not get ready")
 )
 
 var cases = map[string]func(w *world) bool{}
@@ -13,6 +23,8 @@
 		os.Exit(2)
 	}
 	w := newWorld(os.Args[2])
+	current = w
+	time.AfterFunc(maxTime, func() { must(errTooLong) })
 	broken := cases[os.Args[1]](w)
 	if broken {
 		w.note("the rule was broken")
@@ -26,9 +38,3 @@
 	}
 	fmt.Println("held")
 }
-
-type notReady struct{}
-
-func (notReady) Error() string { return "the deployment did not get ready" }
-
-var errNotReady = notReady{}
--- a/review/standin2/owner.go
+++ b/review/standin2/owner.go
@@ -93,7 +93,6 @@
 // restartedServer: a server crashes and is back at its address 0.3 s later, with a new
 // id. Soon after that a client begins to send a claim with a long body, which takes 2 s.
 func restartedServer(w *world) bool {
-	beatTime = 1500 * time.Millisecond // as in sites/acg-mesh.toml
 	const (
 		host     = "jepu9.example"
 		deadline = 3000
@@ -102,6 +101,7 @@
 	)
 	w.addCore(5)
 	m1, m2 := w.addEdge("listing"), w.addEdge("listing")
+	others := []*machine{w.addEdge("listing"), w.addEdge("listing"), w.addEdge("listing")}
 	for _, m := range w.machines {
 		m.run()
 	}
@@ -110,13 +110,17 @@
 	c := h.add(m2.startServer("i-c", 9, true, 20*time.Millisecond, 400*time.Millisecond))
 	defer a.stop()
 	defer c.stop()
+	for n, m := range others { // five servers in all, as catalogue has
+		o := h.add(m.startServer([]string{"i-d", "i-e", "i-f"}[n], 9, true, 20*time.Millisecond, 400*time.Millisecond))
+		defer o.stop()
+	}
 	if s := w.order(patch(object{"r-1": route(host, "/list/", "unsafe", "listing", deadline, 800, 1, 7)}, object{"listing": service(true, 7)}), 15*time.Second); s != 200 {
 		must(errNotReady)
 	}
-	if !w.awaitReady(15*time.Second, m1, m2) {
+	if !w.awaitReady(15*time.Second, append(others, m1, m2)...) {
 		must(errNotReady)
 	}
-	for end := time.Now().Add(20 * time.Second); count(a.held()) < 20000 || count(c.held()) < 20000; time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); count(a.held()) < 8000 || count(c.held()) < 8000; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
 			must(errNotReady)
 		}
--- a/review/standin2/stale.go
+++ b/review/standin2/stale.go
@@ -17,9 +17,14 @@
 	const host = "jepu9.example"
 	w.addCore(5)
 	a, b := w.addEdge("claims"), w.addEdge("depot")
+	more := []*machine{w.addEdge("claims"), w.addEdge("claims")}
 	for _, m := range w.machines {
 		m.run()
 	}
+	for n, m := range more { // three servers of the other service, so that one of four is cut off
+		s := m.startServer([]string{"i-3", "i-4"}[n], 9, false, 30*time.Millisecond)
+		defer s.stop()
+	}
 	sa := a.startServer("i-1", 9, false, 30*time.Millisecond)
 	defer sa.stop()
 	first := b.startServer("i-2", 9, false, 30*time.Millisecond)
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -19,9 +19,9 @@
 	"time"
 )
 
-// bounds as in sites/pcoeb-mesh.toml.
+// bounds as in sites/acg-mesh.toml.
 const (
-	beatMillis   = 870
+	beatMillis   = 1500
 	graceSeconds = 6
 	drainMillis  = 2000
 	holdMillis   = 10000
@@ -279,9 +279,18 @@
 	return false
 }
 
+// current is the deployment that must ends when the case cannot run.
+var current *world
+
+// must ends everything that was started, and the case with exit code 2, after an error.
 func must(err error) {
-	if err != nil {
-		fmt.Println("cannot run:", err)
-		os.Exit(2)
+	if err == nil {
+		return
+	}
+	fmt.Println("cannot run:", err)
+	if current != nil {
+		current.note("cannot run: %v", err)
+		current.close()
 	}
+	os.Exit(2)
 }
