halt: refuse accepted requests that cannot end before a planned stop does

Cause: package halt decides about requests when they arrive. Those accepted before knew only their deadline, which may be later than the end of the drain, and every wait went on until then. The process log shows it: after "requests of callers were aborted at the drain timeout" come ten lines "request" with hops=0, sends=0.

The end goes along with forwarded requests, and the daemon beside the server applies it; requests that may outlast a stop have a receipt for that in all deployments.

--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -95,6 +95,12 @@
 	return s.sched.load.outlook.End(0, s.sched.typicalWork(route))
 }
 
+// LongRun returns how long a long run of a route takes if it starts now: nine of ten runs
+// are shorter. 0 is unknown.
+func (s *Scheduler) LongRun(route string) time.Duration {
+	return time.Duration(longRunFactor * float64(s.ExpectedRun(route)))
+}
+
 // UsesSlowness reports whether the slowness that the server states is used.
 func (s *Scheduler) UsesSlowness() bool {
 	s.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -185,6 +185,7 @@
 		startedAt:      time.Now(),
 		metrics:        metrics.NewSet(),
 	}
+	d.gate.DrainTimeout = cfg.DrainTimeout
 	if err := d.buildParts(); err != nil {
 		return nil, err
 	}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -63,6 +63,7 @@
 	pacer := pace.NewLink(payloadShare * d.cfg.Bandwidth)
 	incoming := intake.NewLink(payloadShare * d.cfg.Bandwidth)
 	relayCfg := relay.Config{MaxRun: d.maxRun, Headers: headers}
+	longRun := func(r *pollenlatch.Request) time.Duration { return d.maxRun(r.Service) }
 	if d.cfg.Platform != nil {
 		scheduler := admit.NewScheduler().WithPacer(pacer).WithGauge(&d.gauge)
 		incoming.OnFree(scheduler.StartWaiting)
@@ -81,6 +82,12 @@
 		}, d.requestHealthCheck)
 		relayCfg.Observe, relayCfg.Gauge = d.observeServer, &d.gauge
 		relayCfg.ExpectedRun = func(r *pollenlatch.Request) time.Duration { return scheduler.ExpectedRun(r.Route) }
+		longRun = func(r *pollenlatch.Request) time.Duration {
+			if r.Idempotent { // its caller may send it again, whatever became of it
+				return scheduler.ExpectedRun(r.Route)
+			}
+			return scheduler.LongRun(r.Route)
+		}
 	} else {
 		d.admitter = admit.NewPriorityAdmitter(admit.Config{QueueLimit: d.queueLimit, RateLimit: d.rateLimit})
 	}
@@ -89,8 +96,8 @@
 	serveCfg := serve.Config{
 		Control: &d.control, Admitter: d.admitter, Exchanger: exchangerFunc(d.exchangeCounted), Records: d.recordStore,
 		Endpoint: d.localServer, Probe: probe, FrontAddr: d.cfg.Front, Metrics: d.metrics, Grants: grants, Crashes: &d.crashes,
-		ReportCleared: d.reportCleared,
-		Evacuated:     func(sharded bool) bool { return d.evacuation.Refuses(d.cfg.DC, sharded) },
+		ReportCleared: d.reportCleared, ExpectedRun: longRun,
+		Evacuated: func(sharded bool) bool { return d.evacuation.Refuses(d.cfg.DC, sharded) },
 	}
 	if d.cfg.Platform != nil {
 		serveCfg.ReadAheadBytes, serveCfg.MaxBufferedBytes, serveCfg.Intake = readAheadBytes, maxBufferedBytes, incoming
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -247,7 +247,8 @@
 	}
 	now := time.Now()
 	schedule := halt.Schedule{RepeatableUntil: now.Add(notReadyPeriod + maxForwardedAcceptTime), End: now.Add(d.cfg.DrainTimeout)}
-	d.gate.Begin(schedule)
+	mayOutlast := d.gate.Begin(schedule)
+	klog.InfoS("callers are drained", "instance", d.cfg.Name, "mayOutlast", mayOutlast, "drainMs", d.cfg.DrainTimeout.Milliseconds())
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.End)
 	defer cancel()
 	d.front.DisableKeepAlives()
@@ -262,5 +263,5 @@
 	if forwardedErr != nil {
 		klog.ErrorS(forwardedErr, "forwarded requests were aborted at the drain timeout", "instance", d.cfg.Name)
 	}
-	klog.InfoS("connections are drained", "instance", d.cfg.Name, "took", time.Since(now), "refused", d.gate.Refused())
+	klog.InfoS("connections are drained", "instance", d.cfg.Name, "took", time.Since(now), "refused", d.gate.Refused(), "revoked", d.gate.Revoked())
 }
--- a/front/router.go
+++ b/front/router.go
@@ -179,6 +179,7 @@
 			return resp, nil
 		}
 		p.recordThrottle(f)
+		pollenlatch.RevocableOf(ctx).Reopen()
 		if !prepareRetry(ctx, f) {
 			return nil, p.finalFailure(p.withRetryAfter(f))
 		}
--- a/link/forward.go
+++ b/link/forward.go
@@ -63,11 +63,12 @@
 	x.deadlineTimer = time.AfterFunc(remaining+deadlineMargin, x.expire)
 	x.stopWatch = context.AfterFunc(ctx, x.abort)
 	x.deadline, x.sentAt = r.Deadline, time.Now()
-	if x.receipt = n.receiptNumber(); x.receipt != 0 {
+	end := x.registerEnd()
+	if x.receipt != 0 && n.isAdaptive() {
 		x.startRevoking(remaining)
 	}
 	close(x.timersSet)
-	if f := x.sendRequest(r); f != nil {
+	if f := x.sendRequest(r, end); f != nil {
 		return nil, x.revokeFailed(f)
 	}
 	return x.readResponse()
@@ -85,7 +86,8 @@
 	receipt       uint64        // 0: the request can't be revoked
 	sentAt        time.Time
 	deadline      time.Time
-	revokeTimer   *time.Timer // nil without a receipt
+	revokeTimer   *time.Timer // nil unless the request is revoked near its deadline
+	endTimer      atomic.Pointer[time.Timer]
 	revoked       atomic.Bool // it is certain that the request has not run and never will
 
 	expired        atomic.Bool
@@ -141,6 +143,9 @@
 	if x.revokeTimer != nil {
 		x.revokeTimer.Stop()
 	}
+	if t := x.endTimer.Load(); t != nil {
+		t.Stop()
+	}
 }
 
 // finish ends the exchange after its last frame. reusable says that the accepting
@@ -162,14 +167,30 @@
 	x.session.node.releaseSession(x.session, st)
 }
 
+// registerEnd returns the time by which the response must be complete; zero is none. One
+// that is set later is sent to the accepting side.
+func (x *exchange) registerEnd() time.Time {
+	state := pollenlatch.RevocableOf(x.ctx)
+	x.receipt = x.session.node.receiptNumber(state != nil)
+	end := state.Forward(x.endBy)
+	if !end.IsZero() {
+		x.revokeAtEnd(end)
+	}
+	return end
+}
+
 // sendRequest writes the head, together with a body that is short and in memory.
-// Other bodies are written by a goroutine.
-func (x *exchange) sendRequest(r *pollenlatch.Request) *pollenlatch.Failure {
+// Other bodies are written by a goroutine. end is when the response must be complete; zero
+// is none.
+func (x *exchange) sendRequest(r *pollenlatch.Request, end time.Time) *pollenlatch.Failure {
 	h := r.RequestHead
 	h.Timeout, h.Receipt = time.Until(r.Deadline), x.receipt
 	if !r.SoftDeadline.IsZero() {
 		h.LatencyLeft = time.Until(r.SoftDeadline)
 	}
+	if !end.IsZero() {
+		h.ResponseLeft = max(1, time.Until(end))
+	}
 	if r.Body == nil {
 		h.Length = 0
 	}
--- a/link/frame.go
+++ b/link/frame.go
@@ -23,7 +23,7 @@
 	kindFailure  frameKind = 8  // failure
 	kindCancel   frameKind = 9  // stream ID of an exchange that the dialling side has aborted
 	kindDrain    frameKind = 10 // the receiver starts no new exchange on this session
-	kindRevoke   frameKind = 15 // receipt of a request that is not to run any more, and its age in nanoseconds
+	kindRevoke   frameKind = 15 // receipt of a request that is not to run any more, its age in nanoseconds and, if it may still run to its end in time, the time left for that
 	kindVerdict  frameKind = 16 // answer to kindRevoke: one byte, verdictUnknown or verdictNotRun
 
 	// kindBodyRequest has the number of bytes of a large body that the accepting side
--- a/link/receipt.go
+++ b/link/receipt.go
@@ -81,7 +81,7 @@
 // end is called when the handler of a request has returned. notRun says that it has
 // returned a failure with OutcomeNotRun.
 func (t *receipts) end(r *receipt, notRun bool, now time.Time) {
-	r.state.Begin() // no revocation any more
+	r.state.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.notRun = notRun
@@ -121,15 +121,30 @@
 	return r.notRun || r.state.Revoke()
 }
 
+// limit sets the time by which the response to a request must be complete. It has no
+// effect on a request that is not known: its sender revokes it later.
+func (t *receipts) limit(number uint64, end time.Time) {
+	t.mu.Lock()
+	r := t.byNumber[number]
+	t.mu.Unlock()
+	if r != nil {
+		r.state.EndBy(end)
+	}
+}
+
 // Revocations returns how many revocations were answered, and how many of these requests
 // had not run.
 func (n *Node) Revocations() (answered, notRun uint64) {
 	return n.revocations.Load(), n.revokedNotRun.Load()
 }
 
-// receiptNumber returns a number for a request, or 0 when it gets no receipt.
-func (n *Node) receiptNumber() uint64 {
-	if n.cfg.Adaptive == nil || !n.cfg.Adaptive() {
+// isAdaptive reports whether the parts for overload apply.
+func (n *Node) isAdaptive() bool { return n.cfg.Adaptive != nil && n.cfg.Adaptive() }
+
+// receiptNumber returns a number for a request, or 0 when it gets no receipt. mayOutlast
+// says that this process may stop before the request ends.
+func (n *Node) receiptNumber(mayOutlast bool) uint64 {
+	if !mayOutlast && !n.isAdaptive() {
 		return 0
 	}
 	return rand.Uint64() | 1
@@ -144,12 +159,15 @@
 		cancel()
 		return nil, revoked()
 	}
+	if in.request.ResponseLeft != 0 {
+		r.state.EndBy(time.Now().Add(in.request.ResponseLeft))
+	}
 	resp, err := handle(pollenlatch.WithRevocable(ctx, r.state))
 	wasRevoked := r.state.Revoked()
 	var f *pollenlatch.Failure
 	notRun := errors.As(err, &f) && f.Outcome == pollenlatch.OutcomeNotRun
 	t.end(r, notRun, time.Now())
-	if notRun && wasRevoked {
+	if notRun && wasRevoked && f.Reason != pollenlatch.ReasonDraining {
 		cancel()
 		return nil, revoked()
 	}
@@ -167,12 +185,16 @@
 // answerRevocation answers a revocation on the stream. No exchange is in progress on it.
 func (st *inboundStream) answerRevocation(payload []byte) error {
 	number, b, err := splitNumber(payload)
-	if err != nil || len(b) != 16 {
+	if err != nil || (len(b) != revokeBytes && len(b) != revokeBytes+8) {
 		return errMalformedFrame
 	}
 	receiptNumber, age := binary.BigEndian.Uint64(b), time.Duration(binary.BigEndian.Uint64(b[8:]))
 	verdict := byte(verdictUnknown)
-	if age >= 0 && st.session.node.receipts.revoke(receiptNumber, age, time.Now()) {
+	switch now := time.Now(); {
+	case len(b) > revokeBytes:
+		left := time.Duration(binary.BigEndian.Uint64(b[revokeBytes:]))
+		st.session.node.receipts.limit(receiptNumber, now.Add(left))
+	case age >= 0 && st.session.node.receipts.revoke(receiptNumber, age, now):
 		verdict = verdictNotRun
 	}
 	_, err = st.stream.Write(appendNumbered(nil, kindVerdict, number, []byte{verdict}))
@@ -182,39 +204,57 @@
 // revoke asks the daemon at addr to revoke a request that was sent to it at sentAt, and
 // reports whether it is certain that the request has not run and never will.
 func (n *Node) revoke(ctx context.Context, addr string, receiptNumber uint64, sentAt time.Time, timeout time.Duration) bool {
-	deadline := time.Now().Add(timeout)
-	s, err := n.acquireSession(ctx, addr, deadline)
+	verdict, err := n.sendRevocation(ctx, addr, appendRevocation(nil, receiptNumber, time.Since(sentAt)), time.Now().Add(timeout))
 	if err != nil {
 		return false
 	}
+	notRun := verdict == verdictNotRun
+	n.revocations.Add(1)
+	if notRun {
+		n.revokedNotRun.Add(1)
+	}
+	if suppressed, ok := n.revokeLog.Allow(time.Now()); ok {
+		klog.InfoS("request revoked", "addr", addr, "notRun", notRun, "ageMs", time.Since(sentAt).Milliseconds(), "suppressed", suppressed)
+	}
+	return notRun
+}
+
+// revokeBytes is the length of a revocation behind the exchange number: a receipt and an
+// age.
+const revokeBytes = 16
+
+func appendRevocation(b []byte, receiptNumber uint64, age time.Duration) []byte {
+	b = binary.BigEndian.AppendUint64(b, receiptNumber)
+	return binary.BigEndian.AppendUint64(b, uint64(age))
+}
+
+// sendRevocation sends a revocation to the daemon at addr and waits for the answer.
+func (n *Node) sendRevocation(ctx context.Context, addr string, b []byte, deadline time.Time) (verdict byte, err error) {
+	s, err := n.acquireSession(ctx, addr, deadline)
+	if err != nil {
+		return 0, err
+	}
 	st, err := s.acquireStream()
 	if err != nil {
 		n.releaseSession(s, nil)
-		return false
+		return 0, err
 	}
 	_ = st.SetDeadline(deadline)
-	verdict, err := st.revoke(receiptNumber, time.Since(sentAt))
-	if err != nil || time.Now().After(deadline) {
+	verdict, err = st.revoke(b)
+	if err == nil && time.Now().After(deadline) {
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
 		_ = st.Close()
 		n.releaseSession(s, nil)
-		return false
+		return 0, err
 	}
 	_ = st.SetDeadline(time.Time{})
 	n.releaseSession(s, st)
-	notRun := verdict == verdictNotRun
-	n.revocations.Add(1)
-	if notRun {
-		n.revokedNotRun.Add(1)
-	}
-	if suppressed, ok := n.revokeLog.Allow(time.Now()); ok {
-		klog.InfoS("request revoked", "addr", addr, "notRun", notRun, "ageMs", time.Since(sentAt).Milliseconds(), "suppressed", suppressed)
-	}
-	return notRun
+	return verdict, nil
 }
 
-func (st *outboundStream) revoke(receiptNumber uint64, age time.Duration) (verdict byte, err error) {
-	b := binary.BigEndian.AppendUint64(nil, receiptNumber)
-	b = binary.BigEndian.AppendUint64(b, uint64(age))
+func (st *outboundStream) revoke(b []byte) (verdict byte, err error) {
 	if _, err := st.Write(appendNumbered(nil, kindRevoke, st.number, b)); err != nil {
 		return 0, err
 	}
@@ -234,17 +274,46 @@
 // it arrives in time.
 func (x *exchange) startRevoking(remaining time.Duration) {
 	margin := min(revokeMargin, time.Duration(revokeShare*float64(remaining)))
+	x.revokeTimer = time.AfterFunc(remaining-margin, func() { x.startRevocation(margin + deadlineMargin/2) })
+}
+
+// startRevocation asks the accepting side to revoke the request, and aborts the exchange
+// if it has.
+func (x *exchange) startRevocation(timeout time.Duration) {
 	n := x.session.node
-	x.revokeTimer = time.AfterFunc(remaining-margin, func() {
-		n.spawn(func() {
-			if n.revoke(x.ctx, x.session.addr, x.receipt, x.sentAt, margin+deadlineMargin/2) {
-				x.revoked.Store(true)
-				x.abort()
-			}
-		})
+	n.spawn(func() {
+		if n.revoke(x.ctx, x.session.addr, x.receipt, x.sentAt, timeout) {
+			x.revoked.Store(true)
+			x.abort()
+		}
 	})
 }
 
+// endBy tells the accepting side by when the response must be complete. It refuses the
+// request when it can no longer run to its end by then, also while it waits for a slot.
+// Where that fails, revokeAtEnd ends the wait.
+func (x *exchange) endBy(end time.Time) {
+	n := x.session.node
+	n.spawn(func() {
+		b := appendRevocation(nil, x.receipt, time.Since(x.sentAt))
+		b = binary.BigEndian.AppendUint64(b, uint64(time.Until(end)))
+		if _, err := n.sendRevocation(x.ctx, x.session.addr, b, time.Now().Add(revokeTimeout)); err != nil && !x.ended.Load() {
+			klog.V(1).InfoS("end of a forwarded request not acknowledged", "id", x.head.ID, "addr", x.session.addr, "err", err)
+		}
+	})
+	x.revokeAtEnd(end)
+}
+
+// revokeAtEnd makes the exchange revoke its request when the response can no longer be
+// complete by end.
+func (x *exchange) revokeAtEnd(end time.Time) {
+	x.endTimer.Store(time.AfterFunc(time.Until(end), func() {
+		if !x.ended.Load() {
+			x.startRevocation(revokeTimeout)
+		}
+	}))
+}
+
 // revokeAfterLoss revokes the request of an exchange whose connection was lost, and
 // reports whether it is certain that it has not run and never will.
 func (x *exchange) revokeAfterLoss() bool {
--- a/link/receipt_test.go
+++ b/link/receipt_test.go
@@ -15,11 +15,13 @@
 // that run until then.
 type waitingHandler struct {
 	runs    bool
+	run     time.Duration // expected
 	arrived chan struct{}
 }
 
 func (h waitingHandler) Handle(ctx context.Context, _ *pollenlatch.Request) (*pollenlatch.Response, error) {
 	outcome := pollenlatch.OutcomeNotRun
+	pollenlatch.RevocableOf(ctx).ExpectRun(func() time.Duration { return h.run })
 	if h.runs && pollenlatch.BeginRun(ctx) {
 		outcome = pollenlatch.OutcomeUnknown
 	}
@@ -82,6 +84,54 @@
 	}
 }
 
+// Guards against requests that wait at another daemon until the process that the caller is
+// connected to ends: their connections were closed without a response.
+func TestForwardedRequestsEndInTime(t *testing.T) {
+	const left = 600 * time.Millisecond // until the response must be complete
+	for _, tt := range []struct {
+		name    string
+		run     time.Duration // expected
+		runs    bool
+		atStart bool // the end is known when the request is sent
+		want    pollenlatch.Outcome
+		after   time.Duration
+	}{
+		{"waits", 0, false, false, pollenlatch.OutcomeNotRun, left},
+		{"waits, sent during the stop", 0, false, true, pollenlatch.OutcomeNotRun, left},
+		{"can't end in time", 400 * time.Millisecond, false, false, pollenlatch.OutcomeNotRun, left - 400*time.Millisecond},
+		{"can't end in time, sent during the stop", 400 * time.Millisecond, false, true, pollenlatch.OutcomeNotRun, left - 400*time.Millisecond},
+		{"runs", 0, true, false, pollenlatch.OutcomeUnknown, 2 * left},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			h := waitingHandler{runs: tt.runs, run: tt.run, arrived: make(chan struct{})}
+			_, addr := testNode(t, "b", func(c *Config) { c.RequestHandler = h })
+			client, _ := testNode(t, "a", nil)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*left)
+			defer cancel()
+			state := pollenlatch.NewRevocable(nil)
+			start := time.Now()
+			if tt.atStart {
+				state.EndBy(start.Add(left))
+			} else {
+				go func() {
+					<-h.arrived
+					state.EndBy(start.Add(left))
+				}()
+			}
+			r := request(nil, 0)
+			r.Deadline = start.Add(8 * time.Second)
+			_, err := client.Forward(pollenlatch.WithRevocable(ctx, state), addr, r)
+			took := time.Since(start)
+			var f *pollenlatch.Failure
+			require.ErrorAs(t, err, &f)
+			require.Equal(t, tt.want, f.Outcome, f.Detail)
+			require.GreaterOrEqual(t, took, tt.after)
+			require.Less(t, took, tt.after+revokeTimeout)
+		})
+	}
+}
+
 // A request that is not known may be revoked only if it can't have run and been forgotten.
 func TestReceipts(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/request.go
+++ b/request.go
@@ -42,6 +42,10 @@
 	Returned    bool          `protobuf:"varint,25,opt,name=returned"`  // the caller was refused before and has come back
 	Starved     bool          `protobuf:"varint,27,opt,name=starved"`   // its route is served too rarely, as its first instance sees it
 	Receipt     uint64        `protobuf:"fixed64,26,opt,name=receipt"`  // identifies this attempt to its sender, which may revoke it; 0: it may not
+	// ResponseLeft is the time left, when the head was sent, until the response must be
+	// complete because the sender stops; 0 is no limit. Unlike Timeout it is not passed on to
+	// the server: a request that might need longer is not begun.
+	ResponseLeft time.Duration `protobuf:"varint,28,opt,name=end"`
 }
 
 // Routed reports whether the request matched a Route.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -59,6 +59,9 @@
 	// Full reports whether more requests are at the local server, by this daemon's count,
 	// than it has slots; nil: a refusal by the server never counts as its fault.
 	Full func() bool
+	// ExpectedRun returns how long a request is likely to run, at most, if it starts now; 0
+	// is unknown. nil: nothing is known.
+	ExpectedRun func(*pollenlatch.Request) time.Duration
 	// ReadAheadBytes is how many bytes of a response are buffered before the first
 	// is passed on; 0 disables buffering.
 	ReadAheadBytes int
@@ -224,6 +227,7 @@
 		return f
 	}
 	arrival := time.Now()
+	pollenlatch.RevocableOf(ctx).ExpectRun(func() time.Duration { return s.expectedRun(r, arrival) })
 	if f := s.checkEndpoint(r); f != nil {
 		return nil, fail(f)
 	}
@@ -351,6 +355,20 @@
 	return resp, nil
 }
 
+// expectedRun returns how long a request that arrived at arrival is likely to run, at most.
+// The latency objective stands for a run time that is not known yet.
+func (s *Server) expectedRun(r *pollenlatch.Request, arrival time.Time) time.Duration {
+	if s.cfg.ExpectedRun != nil {
+		if d := s.cfg.ExpectedRun(r); d > 0 {
+			return d
+		}
+	}
+	if r.SoftDeadline.IsZero() {
+		return 0
+	}
+	return max(0, r.SoftDeadline.Sub(arrival))
+}
+
 // abandoned is the failure of a run that a panic has ended.
 var abandoned = &pollenlatch.Failure{Outcome: pollenlatch.OutcomeUnknown, Reason: pollenlatch.ReasonCancelled}
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -42,6 +42,8 @@
 	return v.owner, service == v.service.Name
 }
 
+func (v fakeView) ShardOwner(pollenlatch.Shard) (pollenlatch.Owner, bool) { return v.owner, true }
+
 // fakeControl is the Control of instance 1.
 type fakeControl struct {
 	view       fakeView
