front: answer pipelined requests at a planned stop

Callers saw: requests pipelined behind one that was being served when SIGTERM came lost their connection without a response, though the process had read them.

Cause: "Connection: close" was decided before the wait for the response, and the stop waited only for requests that had been started early; net/http then closes the connection after the response in progress.

Change: the header is decided when the response is written, and is left out while another request was read. net/http shuts down once no connection serves a request or has read one.

The new test wants one response and one run of each, in five orders of arrival.

--- a/front/pipeline.go
+++ b/front/pipeline.go
@@ -58,6 +58,7 @@
 	bodyLeft int64  // bytes of the present body that were not passed to net/http
 	raw      bool   // the rest of the connection is passed on as it is
 	serving  bool   // a request without a body is being served
+	busy     bool   // a request is being served
 	early    []*earlyRequest
 	current  *earlyRequest // of the request that net/http serves next; may be nil
 	closed   bool
@@ -66,6 +67,7 @@
 func newPipelineConn(c *limitedConn, s *Server) *pipelineConn {
 	p := &pipelineConn{limitedConn: c, server: s}
 	p.ctx, p.cancel = context.WithCancel(pollenlatch.WithPresence(context.Background(), c))
+	s.pipelines.Store(p, struct{}{})
 	return p
 }
 
@@ -135,10 +137,14 @@
 // the buffer, so mu is not held while it waits.
 func (p *pipelineConn) fill() error {
 	if len(p.buf) == cap(p.buf) {
+		p.mu.Lock()
 		p.buf = slices.Grow(p.buf, readBufferBytes)
+		p.mu.Unlock()
 	}
 	n, err := p.limitedConn.Read(p.buf[len(p.buf):cap(p.buf)])
+	p.mu.Lock()
 	p.buf = p.buf[:len(p.buf)+n]
+	p.mu.Unlock()
 	if n > 0 {
 		return nil
 	}
@@ -210,7 +216,7 @@
 // endHead is called when a complete head has been passed on to net/http.
 func (p *pipelineConn) endHead() {
 	head := p.head
-	p.head, p.blocked, p.current = p.head[:0], false, nil
+	p.head, p.blocked, p.current, p.busy = p.head[:0], false, nil, true
 	if len(p.early) > 0 {
 		p.current, p.early = p.early[0], p.early[1:]
 		p.serving = true
@@ -272,29 +278,55 @@
 	}
 }
 
-// beginServing returns the early request that net/http serves now, or nil, and
-// whether further requests of this connection have been started.
-func (p *pipelineConn) beginServing(r *http.Request) (e *earlyRequest, more bool) {
+// beginServing returns the early request that net/http serves now, or nil.
+func (p *pipelineConn) beginServing(r *http.Request) *earlyRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e, p.current = p.current, nil
+	e := p.current
+	p.current = nil
 	if e != nil && (e.head.Method != r.Method || e.head.RequestURI != r.RequestURI || e.head.Host != r.Host) {
 		e.abandon()
 		e = nil
 	}
-	return e, len(p.early) > 0
+	return e
 }
 
 // endServing is called when a request has its response.
 func (p *pipelineConn) endServing() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.serving = false
+	p.serving, p.busy = false, false
+}
+
+// hasRequest reports whether the head of a further request was read from the caller. p may
+// be nil.
+func (p *pipelineConn) hasRequest() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hasRequestLocked()
+}
+
+func (p *pipelineConn) hasRequestLocked() bool {
+	if p.raw || p.bodyLeft > 0 || p.closed {
+		return false
+	}
+	return len(p.early) > 0 || headEnd(p.head, 0) >= 0 || headEnd(slices.Concat(p.head, p.buf), 0) >= 0
+}
+
+// isBusy reports whether a request is being served, or was read and is served next.
+func (p *pipelineConn) isBusy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.closed && (p.busy || p.hasRequestLocked())
 }
 
 // Close implements net.Conn. The early requests whose turn has not come end with the
 // connection; the caller counts them as not read.
 func (p *pipelineConn) Close() error {
+	p.server.pipelines.Delete(p)
 	p.mu.Lock()
 	p.closed = true
 	abandoned := p.early
--- a/front/responder.go
+++ b/front/responder.go
@@ -28,6 +28,8 @@
 	start   time.Time
 	conn    lingeringConn // nil when the connection is always closed at once
 
+	pipeline *pipelineConn // nil if no further requests are read ahead
+
 	outcome    pollenlatch.Outcome
 	reason     pollenlatch.Reason
 	endpoint   string
@@ -86,6 +88,7 @@
 		h.Set("Retry-After", rs.server.formatRetryAfter(f.RetryAfter))
 	}
 	rs.closeAfterUnreadBody()
+	rs.closeWhenStopping()
 	rs.extendWriteDeadline()
 	rs.writer.WriteHeader(status)
 	_, _ = rs.writer.Write(b)
@@ -146,6 +149,15 @@
 	}
 }
 
+// closeWhenStopping closes the connection after this response while the server shuts down.
+// That would leave the requests behind it without a response, so it waits for those that
+// were read.
+func (rs *responder) closeWhenStopping() {
+	if rs.server.keepAlivesDisabled.Load() && !rs.pipeline.hasRequest() {
+		rs.writer.Header().Set("Connection", "close")
+	}
+}
+
 var expiredDeadline = time.Unix(1, 0)
 
 func (rs *responder) extendWriteDeadline() {
@@ -240,6 +252,7 @@
 		h.Set(headerOwner, resp.OwnerAddr)
 	}
 	rs.closeAfterUnreadBody()
+	rs.closeWhenStopping()
 	rs.extendWriteDeadline()
 	rs.writer.WriteHeader(int(resp.Status))
 }
--- a/front/server.go
+++ b/front/server.go
@@ -130,6 +130,7 @@
 	keepAlivesDisabled atomic.Bool
 	earlyRequests      atomic.Int64 // started before their turn and not answered yet
 	listener           atomic.Pointer[limitListener]
+	pipelines          sync.Map // open connections; *pipelineConn
 }
 
 // NewServer returns a server that is not listening yet.
@@ -189,8 +190,8 @@
 // Done returns a channel that is closed when Serve has returned.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
-// DisableKeepAlives makes every further response the last one on its
-// connection.
+// DisableKeepAlives makes every further response the last one on its connection, unless
+// another request was already read from it.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
 // Shutdown stops accepting connections and waits until the running requests
@@ -202,7 +203,7 @@
 	if l := s.listener.Load(); l != nil {
 		l.stopAccepting()
 		s.awaitConnsClosed(ctx)
-		s.awaitEarlyRequests(ctx)
+		s.awaitPipelines(ctx)
 	}
 	return s.http.Shutdown(ctx)
 }
@@ -216,19 +217,30 @@
 func (s *Server) awaitConnsClosed(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.LingerTimeout)
 	defer cancel()
-	awaitZero(ctx, &s.conns)
+	awaitZero(ctx, s.conns.Load)
 }
 
-// awaitEarlyRequests waits until the requests that were started before their turn
-// have their responses. net/http closes a connection after the response in progress
-// once it shuts down.
-func (s *Server) awaitEarlyRequests(ctx context.Context) { awaitZero(ctx, &s.earlyRequests) }
+// awaitPipelines waits until the requests that were read from callers have responses.
+// net/http closes a connection after the response in progress once it shuts down, whatever
+// was read behind it.
+func (s *Server) awaitPipelines(ctx context.Context) {
+	awaitZero(ctx, func() int64 {
+		n := s.earlyRequests.Load()
+		s.pipelines.Range(func(p, _ any) bool {
+			if p.(*pipelineConn).isBusy() {
+				n++
+			}
+			return n == 0
+		})
+		return n
+	})
+}
 
 // awaitZero waits until a count is zero or ctx ends.
-func awaitZero(ctx context.Context, n *atomic.Int64) {
+func awaitZero(ctx context.Context, count func() int64) {
 	t := time.NewTicker(lingerPollInterval)
 	defer t.Stop()
-	for n.Load() > 0 {
+	for count() > 0 {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -249,15 +261,9 @@
 	}
 	defer rs.record()
 	var early *earlyRequest
-	moreStarted := false
-	if p := pipelineOf(r); p != nil {
-		early, moreStarted = p.beginServing(r)
-		defer p.endServing()
-	}
-	// A response that closes the connection would take back the promise to answer
-	// the requests behind it that have been started.
-	if s.keepAlivesDisabled.Load() && !moreStarted {
-		w.Header().Set("Connection", "close")
+	if rs.pipeline = pipelineOf(r); rs.pipeline != nil {
+		early = rs.pipeline.beginServing(r)
+		defer rs.pipeline.endServing()
 	}
 	if early != nil {
 		s.writeEarly(rs, r, early)
