front: refuse incomplete bodies before a planned stop ends

Callers saw: a request whose short body was still arriving at the end of a planned stop lost its connection without a response.

Cause: such bodies are received before the request reaches package halt, and only the deadline of the request ended the wait.

Change: the time by which all responses must be complete is the read deadline of these bodies too. The caller gets 408, not run.

TestShutdownRefusesIncompleteBodies covers bodies begun before and during the stop. It calls the new method, so it can't be run on the code before.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -251,6 +251,7 @@
 	klog.InfoS("callers are drained", "instance", d.cfg.Name, "mayOutlast", mayOutlast, "drainMs", d.cfg.DrainTimeout.Milliseconds())
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.End)
 	defer cancel()
+	d.front.RefuseBodiesAfter(schedule.LastResponse())
 	d.front.DisableKeepAlives()
 	select {
 	case <-time.After(notReadyPeriod):
--- a/front/parse.go
+++ b/front/parse.go
@@ -266,6 +266,8 @@
 		req.Body = body.rewind()
 		return body, nil
 	}
+	s.bodies.begin(rc, req.Deadline)
+	defer s.bodies.end(rc)
 	b := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, b); err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/front/server.go
+++ b/front/server.go
@@ -131,6 +131,7 @@
 	earlyRequests      atomic.Int64 // started before their turn and not answered yet
 	listener           atomic.Pointer[limitListener]
 	pipelines          sync.Map // open connections; *pipelineConn
+	bodies             bodyReads
 }
 
 // NewServer returns a server that is not listening yet.
--- a/front/server_test.go
+++ b/front/server_test.go
@@ -442,6 +442,37 @@
 	})
 }
 
+// Guards against requests whose bodies are still arriving when a stopping server closes all
+// connections: they got no response.
+func TestShutdownRefusesIncompleteBodies(t *testing.T) {
+	const end = 500 * time.Millisecond
+	for name, headBefore := range map[string]bool{"begun before the stop": true, "begun during the stop": false} {
+		t.Run(name, func(t *testing.T) {
+			handler := handlerOf(func() (*pollenlatch.Response, error) { return okResponse("ran"), nil })
+			testServer(t, handler, nil, func(fx *serverFixture) {
+				c := fx.dial()
+				start := time.Now()
+				sendHead := func() {
+					_, err := io.WriteString(c, "POST /s/claims/k HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nhalf")
+					require.NoError(fx, err)
+					synctest.Wait()
+				}
+				if headBefore {
+					sendHead()
+				}
+				fx.server.RefuseBodiesAfter(start.Add(end))
+				if !headBefore {
+					sendHead()
+				}
+				status, body, err := readPipelined(bufio.NewReader(c))
+				require.NoError(fx, err)
+				require.Equal(fx, http.StatusRequestTimeout, status, body)
+				require.Equal(fx, end, time.Since(start))
+			})
+		})
+	}
+}
+
 // A response with an invalid status must not reach the caller.
 func TestInvalidStatus(t *testing.T) {
 	for _, status := range []int32{0, 99, 100, 600, 999} {
