daemon: refuse waiting requests before the drain timeout of leaving instances

Callers saw: at an instance without the users' platform that was stopped or drained, requests that still waited at the drain timeout lost their connections without a response.

Cause: as in the planned stop on the platform, but on the path of its own, which did not use package halt.

Change: leaveGroup begins a stop in package halt, with the drain timeout as its end.

TestLeavingInstanceAnswersWaitingRequests: before the change it failed in three of three runs (connections closed without a response), with it none of three.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -305,9 +305,12 @@
 // leaveGroup hands over the shards, waits for the requests in flight, and ends
 // the lease.
 func (d *Daemon) leaveGroup() {
-	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
+	end := time.Now().Add(d.cfg.DrainTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	klog.InfoS("daemon is draining", "instance", d.cfg.Name)
+	schedule := halt.Schedule{RepeatableUntil: end, End: end}
+	klog.InfoS("daemon is draining", "instance", d.cfg.Name, "mayOutlast", d.gate.Begin(schedule))
+	d.front.RefuseBodiesAfter(schedule.LastResponse())
 	d.loop.Drain()
 	d.waitFor(ctx, d.loop.Drained())
 	if err := d.front.Shutdown(ctx); err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -34,6 +34,8 @@
 	Spread      float64       // share of ServiceTime that varies
 	Seed        uint64        // of the random part of ServiceTime
 	Timing      ctrl.Timing   // zero value is the default timing
+
+	DrainTimeout time.Duration // of the daemons; 0 is their default
 }
 
 // ErrTimeout says that the deployment did not reach the expected state in time.
@@ -144,7 +146,7 @@
 	cfg := daemon.Config{
 		Name: n.Name, DC: n.DC, Group: "fleet", Key: groupKey,
 		Link: n.Addrs.Link, Front: n.Addrs.Front, Local: n.Addrs.Local,
-		Voters: f.voters, Timing: f.cfg.Timing, Listen: f.ports.listen,
+		Voters: f.voters, Timing: f.cfg.Timing, Listen: f.ports.listen, DrainTimeout: f.cfg.DrainTimeout,
 	}
 	if n.Voter {
 		v, err := daemon.OpenVoter(string(f.dataFolder(n.Name)), n.Name, n.Addrs.Link, f.voters)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"pollenlatch"
@@ -35,6 +37,48 @@
     maxrun: 2s
 `
 
+// Guards against requests that wait for an owner when an instance that leaves the group
+// reaches its drain timeout: their connections were closed without a response.
+func TestLeavingInstanceAnswersWaitingRequests(t *testing.T) {
+	const drainTimeout = 2 * time.Second
+	cfg := boardConfig()
+	cfg.Dir, cfg.DrainTimeout = t.TempDir(), drainTimeout
+	f, err := Start(cfg)
+	require.NoError(t, err)
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	require.NoError(t, f.WaitReady(ctx))
+	v, err := f.Submit(ctx, pollenlatch.Ticket{Number: 1, Text: listingTicket + "  - name: vacant\n    keyed: true\n    ranges: 16\n", Sender: "test"})
+	require.NoError(t, err)
+	require.True(t, v.Accepted, "%v", v.Faults)
+	const leaving = "listing-4"
+	require.NoError(t, f.Wait(ctx, func(a *ctrl.Access) bool {
+		_, ok := a.View.Service("vacant")
+		return ok
+	}))
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Node(leaving).Addrs.Front+"/s/vacant/lot-1/claim", http.NoBody)
+			assert.NoError(t, err)
+			req.Header.Set("Pollen-Timeout", "20000")
+			resp, err := http.DefaultClient.Do(req)
+			if !assert.NoError(t, err, "the connection was closed without a response") {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			assert.Equal(t, "not-run", resp.Header.Get("Pollen-Outcome"))
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	start := time.Now()
+	require.NoError(t, f.Shutdown(ctx, leaving))
+	require.Less(t, time.Since(start), drainTimeout+time.Second)
+	wg.Wait()
+}
+
 // Requests for one key that arrive at different instances must all be served by
 // the owner of the key. The daemons and servers are real and use loopback
 // connections.
