link: ask for the caller before each part of a requested body

The sending side asked for the caller before it sent the head, and not again.

Change: it asks before it sends each part that the accepting side requests. If the caller has left, the exchange ends as cancelled, and the accepting side gives the request up before it reaches a server.

--- a/link/cancel_test.go
+++ b/link/cancel_test.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -190,6 +192,55 @@
 	require.EqualValues(t, 1, started.Load())
 }
 
+// Guards against large bodies that are sent to an owner although their callers have
+// disconnected while the request waited there: nothing reads the caller's connection
+// meanwhile, so no context ends.
+func TestForwardChecksCallerBeforeBody(t *testing.T) {
+	const size = 100 << 10
+	for _, tt := range []struct {
+		name  string
+		first int // bytes that are requested before the caller leaves
+	}{
+		{"before the first byte", 0},
+		{"in the middle", 20_000},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			caller := new(departure)
+			arrived := make(chan error, 1)
+			h := func(ctx context.Context, r *pollenlatch.Request) (*pollenlatch.Response, error) {
+				b := r.Body.(pollenlatch.RequestedBody)
+				if tt.first > 0 {
+					if err := b.Request(tt.first); err != nil {
+						return nil, err
+					}
+					if _, err := io.CopyN(io.Discard, r.Body, int64(tt.first)); err != nil {
+						return nil, err
+					}
+				}
+				caller.left.Store(true)
+				err := b.Request(size - tt.first)
+				if err == nil {
+					_, err = io.Copy(io.Discard, r.Body)
+				}
+				<-ctx.Done()
+				arrived <- err
+				return nil, ctx.Err()
+			}
+			client, _, addr := pair(t, h)
+			body := &countedBody{Reader: bytes.NewReader(make([]byte, size))}
+			ctx, cancel := context.WithTimeout(pollenlatch.WithPresence(t.Context(), caller), 2*time.Second)
+			defer cancel()
+			_, err := client.Forward(ctx, addr, largeRequest(body, size))
+			var f *pollenlatch.Failure
+			require.ErrorAs(t, err, &f)
+			require.Equal(t, pollenlatch.ReasonCancelled, f.Reason)
+			require.NoError(t, ctx.Err(), "the request went on until its end")
+			require.Error(t, <-arrived)
+			require.LessOrEqual(t, body.read.Load(), int64(tt.first))
+		})
+	}
+}
+
 // departure is the presence of a caller that leaves when a test says so.
 type departure struct{ left atomic.Bool }
 
--- a/link/forward.go
+++ b/link/forward.go
@@ -97,6 +97,8 @@
 	request   *pollenlatch.Request // nil unless the accepting side requests the body
 	credit    *bodyCredit          // nil unless the accepting side requests the body
 	requested bool                 // it has requested the body; used by the reader of the response
+
+	callerLeft bool // before the body was sent; used by the reader of the response
 }
 
 // expire aborts the exchange at its deadline.
@@ -108,10 +110,14 @@
 // abortCause returns the error of the deadline or of the context that ended the
 // exchange, or nil.
 func (x *exchange) abortCause() error {
-	if x.expired.Load() {
+	switch {
+	case x.expired.Load():
 		return context.DeadlineExceeded
+	case x.callerLeft:
+		return context.Canceled
+	default:
+		return x.ctx.Err()
 	}
-	return x.ctx.Err()
 }
 
 // abort ends the exchange early. The stream is not reused.
--- a/link/requested.go
+++ b/link/requested.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"encoding/binary"
 	"io"
 	"sync"
@@ -72,12 +73,17 @@
 // The request cannot have reached a server then.
 func (x *exchange) unrequested() bool { return x.credit != nil && !x.requested }
 
-// handleBodyRequest sends further bytes of the body. The first request starts the
-// goroutine that sends them.
+// handleBodyRequest sends further bytes of the body, unless the caller has disconnected:
+// while its body stands unread, nothing reads its connection to its end. The first request
+// starts the goroutine that sends them.
 func (x *exchange) handleBodyRequest(b []byte) error {
 	if len(b) != bodyRequestBytes || x.credit == nil {
 		return errMalformedFrame
 	}
+	if pollenlatch.CallerLeft(x.ctx) {
+		x.callerLeft = true
+		return context.Canceled
+	}
 	if !x.requested {
 		if !x.session.node.spawn(func() { x.writeBody(x.request.Body, x.head.Length) }) {
 			return ErrClosed
