--- a/front/revoked_test.go
+++ b/front/revoked_test.go
@@ -36,6 +36,11 @@
 		want    pollenlatch.Outcome
 	}{
 		{"for an endpoint", 0, nil, routed("catalogue", false), pollenlatch.OutcomeNotRun},
+		{"for an endpoint, nested in another request", 0, nil, func() *pollenlatch.Request {
+			r := routed("catalogue", true)()
+			r.Nested = true
+			return r
+		}, pollenlatch.OutcomeNotRun},
 		{"for an owner", 0, nil, routed("listing", false), pollenlatch.OutcomeNotRun},
 		{"for the next owner", 2, refuse(pollenlatch.OutcomeNotRun, pollenlatch.ReasonWrongOwner), routed("listing", false), pollenlatch.OutcomeNotRun},
 		{"for another attempt", 2, refuse(pollenlatch.OutcomeNotRun, pollenlatch.ReasonUnreachable), func() *pollenlatch.Request { return newPost("claims", "k") }, pollenlatch.OutcomeNotRun},
